--- /dev/null
+++ b/fulmarlink/mapcoordinator.cpp
@@ -0,0 +1,464 @@
+// Versions are generation * kVersionsPerGeneration + counter, so a newer coordinator's
+// are above all of an older one's. Recovery: each rank's answer to a question of the
+// new generation also fences it against the older coordinator, so a rank that says
+// "not armed" will never be armed by the older one. Hence, once all have answered, the
+// older attempt is decided: committed if any rank has committed or all are armed, else
+// aborted, and the coordinator tells everyone.
+
+#include "fulmarlink/mapcoordinator.h"
+
+#include <algorithm>
+#include <boost/mpl/vector/vector20.hpp>
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+#include "fulmarlink/mutation.h"
+
+namespace fulmarlink
+{
+
+namespace
+{
+
+namespace msm = boost::msm;
+using boost::msm::front::none;
+using boost::msm::front::Row;
+
+constexpr MapVersion kVersionsPerGeneration = 1U << 20;
+constexpr std::uint32_t kCoordinatorRank = 0xffffffff; ///< in MapAsk: the answer goes to the coordinator
+
+struct Recovered {
+};
+struct Start {
+};
+struct AllStaged {
+};
+struct AllArmed {
+};
+struct Refused {
+};
+struct Done {
+};
+struct Newer {
+};
+
+struct Definition : msm::front::state_machine_def<Definition> {
+    struct Recovering : msm::front::state<> {
+    };
+    struct Idle : msm::front::state<> {
+    };
+    struct Staging : msm::front::state<> {
+    };
+    struct Arming : msm::front::state<> {
+    };
+    struct Committing : msm::front::state<> {
+    };
+    struct Fenced : msm::front::state<> {
+    };
+    using initial_state = Recovering;
+    using no_exception_thrown = int;
+
+    // clang-format off
+    using transition_table = boost::mpl::vector13<
+        Row<Recovering, Recovered, Idle,       none, none>,
+        Row<Idle,       Start,     Staging,    none, none>,
+        Row<Staging,    AllStaged, Arming,     none, none>,
+        Row<Staging,    Refused,   Idle,       none, none>,
+        Row<Arming,     AllArmed,  Committing, none, none>,
+        Row<Arming,     Refused,   Idle,       none, none>,
+        Row<Committing, Done,      Idle,       none, none>,
+        Row<Recovering, Newer,     Fenced,     none, none>,
+        Row<Idle,       Newer,     Fenced,     none, none>,
+        Row<Staging,    Newer,     Fenced,     none, none>,
+        Row<Arming,     Newer,     Fenced,     none, none>,
+        Row<Committing, Newer,     Fenced,     none, none>,
+        Row<Fenced,     Newer,     Fenced,     none, none>
+    >;
+    // clang-format on
+
+    template<class Fsm, class Event>
+    void no_transition(const Event & /*event*/, Fsm & /*fsm*/, int /*state*/) // NOLINT(readability-identifier-naming): MSM's name
+    {
+    }
+};
+
+} // namespace
+
+class MapCoordinator::Machine
+{
+public:
+    Machine()
+    {
+        m_backend.start();
+    }
+
+    template<class Event>
+    void process(const Event &event)
+    {
+        m_backend.process_event(event);
+    }
+
+    CoordinatorPhase phase() const
+    {
+        return static_cast<CoordinatorPhase>(m_backend.current_state()[0]);
+    }
+
+private:
+    msm::back::state_machine<Definition> m_backend;
+};
+
+MapCoordinator::MapCoordinator(CoordinatorOptions options)
+    : m_options(options)
+    , m_machine(std::make_unique<Machine>())
+    , m_answered(options.ranks, false)
+    , m_told(options.ranks)
+{
+    resend();
+}
+
+MapCoordinator::~MapCoordinator() = default;
+
+MapCoordinator::MapCoordinator(const MapCoordinator &other)
+    : m_options(other.m_options)
+    , m_machine(std::make_unique<Machine>(*other.m_machine))
+    , m_version(other.m_version)
+    , m_attempt(other.m_attempt)
+    , m_step(other.m_step)
+    , m_slowest(other.m_slowest)
+    , m_assignment(other.m_assignment)
+    , m_answered(other.m_answered)
+    , m_told(other.m_told)
+    , m_lastSend(other.m_lastSend)
+    , m_forming(other.m_forming)
+    , m_messages(other.m_messages)
+{
+}
+
+MapCoordinator &MapCoordinator::operator=(const MapCoordinator &other)
+{
+    if (this != &other) {
+        MapCoordinator copy(other);
+        std::swap(m_options, copy.m_options);
+        std::swap(m_machine, copy.m_machine);
+        std::swap(m_version, copy.m_version);
+        std::swap(m_attempt, copy.m_attempt);
+        std::swap(m_step, copy.m_step);
+        std::swap(m_slowest, copy.m_slowest);
+        std::swap(m_assignment, copy.m_assignment);
+        std::swap(m_answered, copy.m_answered);
+        std::swap(m_told, copy.m_told);
+        std::swap(m_lastSend, copy.m_lastSend);
+        std::swap(m_forming, copy.m_forming);
+        std::swap(m_messages, copy.m_messages);
+    }
+    return *this;
+}
+
+MapVersion MapCoordinator::start(TimePoint now, std::vector<std::uint16_t> assignment)
+{
+    if (phase() != CoordinatorPhase::Idle) {
+        return 0;
+    }
+    const MapVersion first = m_options.generation * kVersionsPerGeneration;
+    m_attempt = std::max(first, m_attempt) + 1;
+    m_assignment = std::move(assignment);
+    m_answered.assign(m_options.ranks, false);
+    m_slowest = 0;
+    m_lastSend = now;
+    m_machine->process(Start{});
+    toAll(stageMessage());
+    return m_attempt;
+}
+
+Message MapCoordinator::stageMessage() const
+{
+    wire::MapStageT stage;
+    stage.group = m_options.group;
+    stage.generation = m_options.generation;
+    stage.version = m_attempt;
+    stage.base = m_version;
+    stage.assignment = m_assignment;
+    return stage;
+}
+
+void MapCoordinator::receive(TimePoint now, const Message &message)
+{
+    std::visit(Overloaded{
+                   [&](const wire::MapStagedT &staged) {
+                       onStaged(now, staged);
+                   },
+                   [&](const wire::MapArmedT &armed) {
+                       onArmed(armed);
+                   },
+                   [&](const wire::MapTellT &told) {
+                       onTell(now, told);
+                   },
+                   [](const auto & /*other*/) {
+                   },
+               },
+               message);
+}
+
+void MapCoordinator::onStaged(TimePoint /*now*/, const wire::MapStagedT &staged)
+{
+    if (staged.generation > m_options.generation) {
+        m_machine->process(Newer{});
+        return;
+    }
+    if (phase() != CoordinatorPhase::Staging || staged.version != m_attempt || staged.rank >= m_options.ranks) {
+        return;
+    }
+    if (staged.refused) {
+        // Nothing was armed and nothing will be: free to drop it.
+        abortAll(m_attempt);
+        m_machine->process(Refused{});
+        return;
+    }
+    m_answered[staged.rank] = true;
+    m_slowest = std::max(m_slowest, staged.step);
+    if (allAnswered()) {
+        beginArming();
+    }
+}
+
+void MapCoordinator::beginArming()
+{
+    m_machine->process(AllStaged{});
+    m_answered.assign(m_options.ranks, false);
+    m_step = m_slowest + m_options.stepMargin;
+    wire::MapArmT arm;
+    arm.group = m_options.group;
+    arm.generation = m_options.generation;
+    arm.version = m_attempt;
+    arm.step = m_step;
+    toAll(arm);
+}
+
+void MapCoordinator::onArmed(const wire::MapArmedT &armed)
+{
+    if (phase() != CoordinatorPhase::Arming || armed.version != m_attempt || armed.rank >= m_options.ranks) {
+        return;
+    }
+    if (armed.refused) {
+        abortAll(m_attempt);
+        m_machine->process(Refused{});
+        return;
+    }
+    m_answered[armed.rank] = true;
+    if (allAnswered() || mutated(Mutation::CommitUnarmed)) {
+        commitAll();
+    }
+}
+
+void MapCoordinator::commitAll()
+{
+    m_machine->process(AllArmed{});
+    m_version = m_attempt;
+    m_answered.assign(m_options.ranks, false);
+    wire::MapCommitT committed;
+    committed.group = m_options.group;
+    committed.version = m_attempt;
+    committed.step = m_step;
+    toAll(committed);
+}
+
+void MapCoordinator::onTell(TimePoint /*now*/, const wire::MapTellT &told)
+{
+    if (told.generation > m_options.generation) {
+        m_machine->process(Newer{});
+        return;
+    }
+    if (told.rank >= m_options.ranks) {
+        return;
+    }
+    if (phase() == CoordinatorPhase::Committing && (told.version == m_attempt || told.next == m_attempt)) {
+        m_answered[told.rank] = true;
+        if (allAnswered()) {
+            m_machine->process(Done{});
+        }
+    }
+    if (phase() == CoordinatorPhase::Arming && told.vetoed >= m_attempt && told.armed != m_attempt && !told.lost) {
+        abortAll(m_attempt);
+        m_machine->process(Refused{});
+    }
+    if (phase() == CoordinatorPhase::Recovering && m_forming && told.epoch == m_options.generation) {
+        m_answered[told.rank] = true;
+        if (allAnswered()) {
+            m_forming = false;
+            m_machine->process(Recovered{});
+        }
+    } else if (phase() == CoordinatorPhase::Recovering && !m_forming && told.generation == m_options.generation) {
+        m_answered[told.rank] = true;
+        m_told[told.rank] = told;
+        if (allAnswered()) {
+            decideRecovery();
+        }
+    }
+}
+
+void MapCoordinator::decideRecovery()
+{
+    MapVersion armed = 0;
+    MapVersion committed = 0;
+    std::uint64_t epoch = 0;
+    bool lost = false;
+    for (const wire::MapTellT &told : m_told) {
+        epoch = std::max(epoch, told.epoch);
+    }
+    for (const wire::MapTellT &told : m_told) {
+        m_slowest = std::max(m_slowest, told.step);
+        lost = lost || told.lost || told.epoch != epoch;
+        if (told.lost || told.epoch != epoch) {
+            continue;
+        }
+        armed = std::max(armed, told.next != 0 ? MapVersion(0) : told.armed);
+        committed = std::max({committed, told.version, told.next});
+    }
+    m_version = committed;
+    if (lost) {
+        // A rank without its engine has kept the group from stepping: any map will do, if it is one.
+        // Not before all have said that they are in it may anything else begin: a late order to
+        // form would undo what a rank has promised since.
+        m_forming = true;
+        m_answered.assign(m_options.ranks, false);
+        for (std::uint32_t rank = 0; rank < m_options.ranks; ++rank) {
+            sendForm(rank);
+        }
+        return;
+    }
+    const bool allArmed = std::ranges::all_of(m_told, [&](const wire::MapTellT &told) {
+        return told.armed == armed;
+    });
+    if (armed > committed && (allArmed || mutated(Mutation::CommitUnarmed))) {
+        m_version = armed;
+        wire::MapCommitT message;
+        message.group = m_options.group;
+        message.version = armed;
+        toAll(message);
+    } else if (committed != 0 && armed == committed) {
+        wire::MapCommitT message;
+        message.group = m_options.group;
+        message.version = committed;
+        toAll(message);
+    } else if (armed != 0 && !allArmed) {
+        abortAll(armed);
+    }
+    m_machine->process(Recovered{});
+}
+
+void MapCoordinator::abortAll(MapVersion version)
+{
+    wire::MapAbortT aborted;
+    aborted.group = m_options.group;
+    aborted.version = version;
+    toAll(aborted);
+}
+
+void MapCoordinator::sendForm(std::uint32_t rank)
+{
+    wire::MapFormT form;
+    form.group = m_options.group;
+    form.generation = m_options.generation;
+    form.version = m_version;
+    form.step = m_slowest + 1;
+    m_messages.push_back({MapMessage::To::Rank, rank, std::move(form)});
+}
+
+void MapCoordinator::tick(TimePoint now)
+{
+    if (now < m_lastSend + m_options.resendAfter) {
+        return;
+    }
+    m_lastSend = now;
+    if (mutated(Mutation::AbortArmed) && phase() == CoordinatorPhase::Arming) {
+        abortAll(m_attempt);
+        m_machine->process(Refused{});
+        return;
+    }
+    resend();
+}
+
+/** Asks again whoever has not answered: a message may have been lost. */
+void MapCoordinator::resend()
+{
+    const CoordinatorPhase current = phase();
+    if (current == CoordinatorPhase::Idle || current == CoordinatorPhase::Fenced) {
+        return;
+    }
+    for (std::uint32_t rank = 0; rank < m_options.ranks; ++rank) {
+        if (m_answered[rank]) {
+            continue;
+        }
+        if (current == CoordinatorPhase::Staging) {
+            m_messages.push_back({MapMessage::To::Rank, rank, stageMessage()});
+            continue;
+        }
+        if (m_forming) {
+            sendForm(rank);
+            continue;
+        }
+        // Arming: one that is not armed vetoes by this question, which ends the wait. Committing: it tells its state.
+        if (current == CoordinatorPhase::Committing) {
+            wire::MapCommitT committed;
+            committed.group = m_options.group;
+            committed.version = m_attempt;
+            committed.step = m_step;
+            m_messages.push_back({MapMessage::To::Rank, rank, std::move(committed)});
+        }
+        wire::MapAskT ask;
+        ask.group = m_options.group;
+        ask.generation = m_options.generation;
+        ask.version = current == CoordinatorPhase::Recovering ? 0 : m_attempt;
+        ask.rank = kCoordinatorRank;
+        m_messages.push_back({MapMessage::To::Rank, rank, std::move(ask)});
+    }
+}
+
+void MapCoordinator::toAll(const Message &message)
+{
+    for (std::uint32_t rank = 0; rank < m_options.ranks; ++rank) {
+        m_messages.push_back({MapMessage::To::Rank, rank, message});
+    }
+}
+
+bool MapCoordinator::allAnswered() const
+{
+    return std::ranges::all_of(m_answered, [](bool answered) {
+        return answered;
+    });
+}
+
+CoordinatorPhase MapCoordinator::phase() const
+{
+    return m_machine->phase();
+}
+
+MapVersion MapCoordinator::version() const
+{
+    return m_version;
+}
+
+MapVersion MapCoordinator::attempt() const
+{
+    return m_attempt;
+}
+
+std::vector<MapMessage> MapCoordinator::takeMessages()
+{
+    return std::exchange(m_messages, {});
+}
+
+std::string MapCoordinator::fingerprint() const
+{
+    std::string text = std::to_string(static_cast<int>(phase())) + ',' + std::to_string(m_version) + ',' + std::to_string(m_attempt) + ','
+                       + std::to_string(m_step) + ',' + std::to_string(m_slowest) + (m_forming ? 'f' : ',');
+    for (std::uint32_t rank = 0; rank < m_options.ranks; ++rank) {
+        const wire::MapTellT &told = m_told[rank];
+        text += std::to_string(m_answered[rank] ? 1 : 0) + ':' + std::to_string(told.version) + ':' + std::to_string(told.armed) + ':'
+                + std::to_string(told.next) + ';';
+    }
+    return text;
+}
+
+} // namespace fulmarlink
--- a/fulmarlink/message.h
+++ b/fulmarlink/message.h
@@ -36,6 +36,7 @@
                              wire::MapAbortT,
                              wire::MapAskT,
                              wire::MapTellT,
+                             wire::MapFormT,
                              wire::LimitAskT,
                              wire::LimitGrantT>;
 
--- a/proto/protocol_generated.h
+++ b/proto/protocol_generated.h
@@ -134,6 +134,10 @@
 struct MapTellBuilder;
 struct MapTellT;
 
+struct MapForm;
+struct MapFormBuilder;
+struct MapFormT;
+
 struct LimitAsk;
 struct LimitAskBuilder;
 struct LimitAskT;
@@ -206,6 +210,8 @@
 bool operator!=(const MapAskT &lhs, const MapAskT &rhs);
 bool operator==(const MapTellT &lhs, const MapTellT &rhs);
 bool operator!=(const MapTellT &lhs, const MapTellT &rhs);
+bool operator==(const MapFormT &lhs, const MapFormT &rhs);
+bool operator!=(const MapFormT &lhs, const MapFormT &rhs);
 bool operator==(const LimitAskT &lhs, const LimitAskT &rhs);
 bool operator!=(const LimitAskT &lhs, const LimitAskT &rhs);
 bool operator==(const LimitGrantT &lhs, const LimitGrantT &rhs);
@@ -241,13 +247,14 @@
   MapAbort = 24,
   MapAsk = 25,
   MapTell = 26,
-  LimitAsk = 27,
-  LimitGrant = 28,
+  MapForm = 27,
+  LimitAsk = 28,
+  LimitGrant = 29,
   MIN = NONE,
   MAX = LimitGrant
 };
 
-inline const Body (&EnumValuesBody())[29] {
+inline const Body (&EnumValuesBody())[30] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -276,6 +283,7 @@
     Body::MapAbort,
     Body::MapAsk,
     Body::MapTell,
+    Body::MapForm,
     Body::LimitAsk,
     Body::LimitGrant
   };
@@ -283,7 +291,7 @@
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[30] = {
+  static const char * const names[31] = {
     "NONE",
     "Hello",
     "Dispatch",
@@ -311,6 +319,7 @@
     "MapAbort",
     "MapAsk",
     "MapTell",
+    "MapForm",
     "LimitAsk",
     "LimitGrant",
     nullptr
@@ -432,6 +441,10 @@
   static const Body enum_value = Body::MapTell;
 };
 
+template<> struct BodyTraits<fulmarlink::wire::MapForm> {
+  static const Body enum_value = Body::MapForm;
+};
+
 template<> struct BodyTraits<fulmarlink::wire::LimitAsk> {
   static const Body enum_value = Body::LimitAsk;
 };
@@ -548,6 +561,10 @@
   static const Body enum_value = Body::MapTell;
 };
 
+template<> struct BodyUnionTraits<fulmarlink::wire::MapFormT> {
+  static const Body enum_value = Body::MapForm;
+};
+
 template<> struct BodyUnionTraits<fulmarlink::wire::LimitAskT> {
   static const Body enum_value = Body::LimitAsk;
 };
@@ -794,6 +811,14 @@
     return type == Body::MapTell ?
       reinterpret_cast<const fulmarlink::wire::MapTellT *>(value) : nullptr;
   }
+  fulmarlink::wire::MapFormT *AsMapForm() {
+    return type == Body::MapForm ?
+      reinterpret_cast<fulmarlink::wire::MapFormT *>(value) : nullptr;
+  }
+  const fulmarlink::wire::MapFormT *AsMapForm() const {
+    return type == Body::MapForm ?
+      reinterpret_cast<const fulmarlink::wire::MapFormT *>(value) : nullptr;
+  }
   fulmarlink::wire::LimitAskT *AsLimitAsk() {
     return type == Body::LimitAsk ?
       reinterpret_cast<fulmarlink::wire::LimitAskT *>(value) : nullptr;
@@ -923,6 +948,10 @@
       return *(reinterpret_cast<const fulmarlink::wire::MapTellT *>(lhs.value)) ==
              *(reinterpret_cast<const fulmarlink::wire::MapTellT *>(rhs.value));
     }
+    case Body::MapForm: {
+      return *(reinterpret_cast<const fulmarlink::wire::MapFormT *>(lhs.value)) ==
+             *(reinterpret_cast<const fulmarlink::wire::MapFormT *>(rhs.value));
+    }
     case Body::LimitAsk: {
       return *(reinterpret_cast<const fulmarlink::wire::LimitAskT *>(lhs.value)) ==
              *(reinterpret_cast<const fulmarlink::wire::LimitAskT *>(rhs.value));
@@ -3334,8 +3363,8 @@
   typedef MapStage TableType;
   uint64_t group = 0;
   uint64_t generation = 0;
-  uint64_t map_version = 0;
-  uint64_t base_version = 0;
+  uint64_t version = 0;
+  uint64_t base = 0;
   std::vector<uint16_t> assignment{};
 };
 
@@ -3346,8 +3375,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_GROUP = 4,
     VT_GENERATION = 6,
-    VT_MAP_VERSION = 8,
-    VT_BASE_VERSION = 10,
+    VT_VERSION = 8,
+    VT_BASE = 10,
     VT_ASSIGNMENT = 12
   };
   uint64_t group() const {
@@ -3356,11 +3385,11 @@
   uint64_t generation() const {
     return GetField<uint64_t>(VT_GENERATION, 0);
   }
-  uint64_t map_version() const {
-    return GetField<uint64_t>(VT_MAP_VERSION, 0);
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
   }
-  uint64_t base_version() const {
-    return GetField<uint64_t>(VT_BASE_VERSION, 0);
+  uint64_t base() const {
+    return GetField<uint64_t>(VT_BASE, 0);
   }
   const flatbuffers::Vector<uint16_t> *assignment() const {
     return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_ASSIGNMENT);
@@ -3369,8 +3398,8 @@
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_GROUP, 8) &&
            VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_MAP_VERSION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_BASE_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_BASE, 8) &&
            VerifyOffset(verifier, VT_ASSIGNMENT) &&
            verifier.VerifyVector(assignment()) &&
            verifier.EndTable();
@@ -3390,11 +3419,11 @@
   void add_generation(uint64_t generation) {
     fbb_.AddElement<uint64_t>(MapStage::VT_GENERATION, generation, 0);
   }
-  void add_map_version(uint64_t map_version) {
-    fbb_.AddElement<uint64_t>(MapStage::VT_MAP_VERSION, map_version, 0);
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(MapStage::VT_VERSION, version, 0);
   }
-  void add_base_version(uint64_t base_version) {
-    fbb_.AddElement<uint64_t>(MapStage::VT_BASE_VERSION, base_version, 0);
+  void add_base(uint64_t base) {
+    fbb_.AddElement<uint64_t>(MapStage::VT_BASE, base, 0);
   }
   void add_assignment(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> assignment) {
     fbb_.AddOffset(MapStage::VT_ASSIGNMENT, assignment);
@@ -3414,12 +3443,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t group = 0,
     uint64_t generation = 0,
-    uint64_t map_version = 0,
-    uint64_t base_version = 0,
+    uint64_t version = 0,
+    uint64_t base = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint16_t>> assignment = 0) {
   MapStageBuilder builder_(_fbb);
-  builder_.add_base_version(base_version);
-  builder_.add_map_version(map_version);
+  builder_.add_base(base);
+  builder_.add_version(version);
   builder_.add_generation(generation);
   builder_.add_group(group);
   builder_.add_assignment(assignment);
@@ -3435,16 +3464,16 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t group = 0,
     uint64_t generation = 0,
-    uint64_t map_version = 0,
-    uint64_t base_version = 0,
+    uint64_t version = 0,
+    uint64_t base = 0,
     const std::vector<uint16_t> *assignment = nullptr) {
   auto assignment__ = assignment ? _fbb.CreateVector<uint16_t>(*assignment) : 0;
   return fulmarlink::wire::CreateMapStage(
       _fbb,
       group,
       generation,
-      map_version,
-      base_version,
+      version,
+      base,
       assignment__);
 }
 
@@ -3453,11 +3482,11 @@
 struct MapStagedT : public flatbuffers::NativeTable {
   typedef MapStaged TableType;
   uint64_t group = 0;
-  uint64_t generation = 0;
-  uint64_t map_version = 0;
   uint32_t rank = 0;
+  uint64_t version = 0;
   bool refused = false;
-  uint64_t known_generation = 0;
+  uint64_t generation = 0;
+  uint64_t step = 0;
 };
 
 struct MapStaged FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3466,38 +3495,38 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_GROUP = 4,
-    VT_GENERATION = 6,
-    VT_MAP_VERSION = 8,
-    VT_RANK = 10,
-    VT_REFUSED = 12,
-    VT_KNOWN_GENERATION = 14
+    VT_RANK = 6,
+    VT_VERSION = 8,
+    VT_REFUSED = 10,
+    VT_GENERATION = 12,
+    VT_STEP = 14
   };
   uint64_t group() const {
     return GetField<uint64_t>(VT_GROUP, 0);
   }
-  uint64_t generation() const {
-    return GetField<uint64_t>(VT_GENERATION, 0);
-  }
-  uint64_t map_version() const {
-    return GetField<uint64_t>(VT_MAP_VERSION, 0);
-  }
   uint32_t rank() const {
     return GetField<uint32_t>(VT_RANK, 0);
   }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
   bool refused() const {
     return GetField<uint8_t>(VT_REFUSED, 0) != 0;
   }
-  uint64_t known_generation() const {
-    return GetField<uint64_t>(VT_KNOWN_GENERATION, 0);
+  uint64_t generation() const {
+    return GetField<uint64_t>(VT_GENERATION, 0);
+  }
+  uint64_t step() const {
+    return GetField<uint64_t>(VT_STEP, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_GROUP, 8) &&
-           VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_MAP_VERSION, 8) &&
            VerifyField<uint32_t>(verifier, VT_RANK, 4) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyField<uint8_t>(verifier, VT_REFUSED, 1) &&
-           VerifyField<uint64_t>(verifier, VT_KNOWN_GENERATION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_STEP, 8) &&
            verifier.EndTable();
   }
   MapStagedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3512,20 +3541,20 @@
   void add_group(uint64_t group) {
     fbb_.AddElement<uint64_t>(MapStaged::VT_GROUP, group, 0);
   }
-  void add_generation(uint64_t generation) {
-    fbb_.AddElement<uint64_t>(MapStaged::VT_GENERATION, generation, 0);
-  }
-  void add_map_version(uint64_t map_version) {
-    fbb_.AddElement<uint64_t>(MapStaged::VT_MAP_VERSION, map_version, 0);
-  }
   void add_rank(uint32_t rank) {
     fbb_.AddElement<uint32_t>(MapStaged::VT_RANK, rank, 0);
   }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(MapStaged::VT_VERSION, version, 0);
+  }
   void add_refused(bool refused) {
     fbb_.AddElement<uint8_t>(MapStaged::VT_REFUSED, static_cast<uint8_t>(refused), 0);
   }
-  void add_known_generation(uint64_t known_generation) {
-    fbb_.AddElement<uint64_t>(MapStaged::VT_KNOWN_GENERATION, known_generation, 0);
+  void add_generation(uint64_t generation) {
+    fbb_.AddElement<uint64_t>(MapStaged::VT_GENERATION, generation, 0);
+  }
+  void add_step(uint64_t step) {
+    fbb_.AddElement<uint64_t>(MapStaged::VT_STEP, step, 0);
   }
   explicit MapStagedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -3541,15 +3570,15 @@
 inline flatbuffers::Offset<MapStaged> CreateMapStaged(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t group = 0,
-    uint64_t generation = 0,
-    uint64_t map_version = 0,
     uint32_t rank = 0,
+    uint64_t version = 0,
     bool refused = false,
-    uint64_t known_generation = 0) {
+    uint64_t generation = 0,
+    uint64_t step = 0) {
   MapStagedBuilder builder_(_fbb);
-  builder_.add_known_generation(known_generation);
-  builder_.add_map_version(map_version);
+  builder_.add_step(step);
   builder_.add_generation(generation);
+  builder_.add_version(version);
   builder_.add_group(group);
   builder_.add_rank(rank);
   builder_.add_refused(refused);
@@ -3567,7 +3596,7 @@
   typedef MapArm TableType;
   uint64_t group = 0;
   uint64_t generation = 0;
-  uint64_t map_version = 0;
+  uint64_t version = 0;
   uint64_t step = 0;
 };
 
@@ -3578,7 +3607,7 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_GROUP = 4,
     VT_GENERATION = 6,
-    VT_MAP_VERSION = 8,
+    VT_VERSION = 8,
     VT_STEP = 10
   };
   uint64_t group() const {
@@ -3587,8 +3616,8 @@
   uint64_t generation() const {
     return GetField<uint64_t>(VT_GENERATION, 0);
   }
-  uint64_t map_version() const {
-    return GetField<uint64_t>(VT_MAP_VERSION, 0);
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
   }
   uint64_t step() const {
     return GetField<uint64_t>(VT_STEP, 0);
@@ -3597,7 +3626,7 @@
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_GROUP, 8) &&
            VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_MAP_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_STEP, 8) &&
            verifier.EndTable();
   }
@@ -3616,8 +3645,8 @@
   void add_generation(uint64_t generation) {
     fbb_.AddElement<uint64_t>(MapArm::VT_GENERATION, generation, 0);
   }
-  void add_map_version(uint64_t map_version) {
-    fbb_.AddElement<uint64_t>(MapArm::VT_MAP_VERSION, map_version, 0);
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(MapArm::VT_VERSION, version, 0);
   }
   void add_step(uint64_t step) {
     fbb_.AddElement<uint64_t>(MapArm::VT_STEP, step, 0);
@@ -3637,11 +3666,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t group = 0,
     uint64_t generation = 0,
-    uint64_t map_version = 0,
+    uint64_t version = 0,
     uint64_t step = 0) {
   MapArmBuilder builder_(_fbb);
   builder_.add_step(step);
-  builder_.add_map_version(map_version);
+  builder_.add_version(version);
   builder_.add_generation(generation);
   builder_.add_group(group);
   return builder_.Finish();
@@ -3657,10 +3686,10 @@
 struct MapArmedT : public flatbuffers::NativeTable {
   typedef MapArmed TableType;
   uint64_t group = 0;
-  uint64_t generation = 0;
-  uint64_t map_version = 0;
   uint32_t rank = 0;
+  uint64_t version = 0;
   bool refused = false;
+  uint64_t generation = 0;
 };
 
 struct MapArmed FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3669,33 +3698,33 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_GROUP = 4,
-    VT_GENERATION = 6,
-    VT_MAP_VERSION = 8,
-    VT_RANK = 10,
-    VT_REFUSED = 12
+    VT_RANK = 6,
+    VT_VERSION = 8,
+    VT_REFUSED = 10,
+    VT_GENERATION = 12
   };
   uint64_t group() const {
     return GetField<uint64_t>(VT_GROUP, 0);
   }
-  uint64_t generation() const {
-    return GetField<uint64_t>(VT_GENERATION, 0);
-  }
-  uint64_t map_version() const {
-    return GetField<uint64_t>(VT_MAP_VERSION, 0);
-  }
   uint32_t rank() const {
     return GetField<uint32_t>(VT_RANK, 0);
   }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
   bool refused() const {
     return GetField<uint8_t>(VT_REFUSED, 0) != 0;
   }
+  uint64_t generation() const {
+    return GetField<uint64_t>(VT_GENERATION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_GROUP, 8) &&
-           VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_MAP_VERSION, 8) &&
            VerifyField<uint32_t>(verifier, VT_RANK, 4) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyField<uint8_t>(verifier, VT_REFUSED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
            verifier.EndTable();
   }
   MapArmedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3710,18 +3739,18 @@
   void add_group(uint64_t group) {
     fbb_.AddElement<uint64_t>(MapArmed::VT_GROUP, group, 0);
   }
-  void add_generation(uint64_t generation) {
-    fbb_.AddElement<uint64_t>(MapArmed::VT_GENERATION, generation, 0);
-  }
-  void add_map_version(uint64_t map_version) {
-    fbb_.AddElement<uint64_t>(MapArmed::VT_MAP_VERSION, map_version, 0);
-  }
   void add_rank(uint32_t rank) {
     fbb_.AddElement<uint32_t>(MapArmed::VT_RANK, rank, 0);
   }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(MapArmed::VT_VERSION, version, 0);
+  }
   void add_refused(bool refused) {
     fbb_.AddElement<uint8_t>(MapArmed::VT_REFUSED, static_cast<uint8_t>(refused), 0);
   }
+  void add_generation(uint64_t generation) {
+    fbb_.AddElement<uint64_t>(MapArmed::VT_GENERATION, generation, 0);
+  }
   explicit MapArmedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3736,13 +3765,13 @@
 inline flatbuffers::Offset<MapArmed> CreateMapArmed(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t group = 0,
-    uint64_t generation = 0,
-    uint64_t map_version = 0,
     uint32_t rank = 0,
-    bool refused = false) {
+    uint64_t version = 0,
+    bool refused = false,
+    uint64_t generation = 0) {
   MapArmedBuilder builder_(_fbb);
-  builder_.add_map_version(map_version);
   builder_.add_generation(generation);
+  builder_.add_version(version);
   builder_.add_group(group);
   builder_.add_rank(rank);
   builder_.add_refused(refused);
@@ -3759,8 +3788,7 @@
 struct MapCommitT : public flatbuffers::NativeTable {
   typedef MapCommit TableType;
   uint64_t group = 0;
-  uint64_t generation = 0;
-  uint64_t map_version = 0;
+  uint64_t version = 0;
   uint64_t step = 0;
 };
 
@@ -3770,18 +3798,14 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_GROUP = 4,
-    VT_GENERATION = 6,
-    VT_MAP_VERSION = 8,
-    VT_STEP = 10
+    VT_VERSION = 6,
+    VT_STEP = 8
   };
   uint64_t group() const {
     return GetField<uint64_t>(VT_GROUP, 0);
   }
-  uint64_t generation() const {
-    return GetField<uint64_t>(VT_GENERATION, 0);
-  }
-  uint64_t map_version() const {
-    return GetField<uint64_t>(VT_MAP_VERSION, 0);
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
   }
   uint64_t step() const {
     return GetField<uint64_t>(VT_STEP, 0);
@@ -3789,8 +3813,7 @@
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_GROUP, 8) &&
-           VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_MAP_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_STEP, 8) &&
            verifier.EndTable();
   }
@@ -3806,11 +3829,8 @@
   void add_group(uint64_t group) {
     fbb_.AddElement<uint64_t>(MapCommit::VT_GROUP, group, 0);
   }
-  void add_generation(uint64_t generation) {
-    fbb_.AddElement<uint64_t>(MapCommit::VT_GENERATION, generation, 0);
-  }
-  void add_map_version(uint64_t map_version) {
-    fbb_.AddElement<uint64_t>(MapCommit::VT_MAP_VERSION, map_version, 0);
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(MapCommit::VT_VERSION, version, 0);
   }
   void add_step(uint64_t step) {
     fbb_.AddElement<uint64_t>(MapCommit::VT_STEP, step, 0);
@@ -3829,13 +3849,11 @@
 inline flatbuffers::Offset<MapCommit> CreateMapCommit(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t group = 0,
-    uint64_t generation = 0,
-    uint64_t map_version = 0,
+    uint64_t version = 0,
     uint64_t step = 0) {
   MapCommitBuilder builder_(_fbb);
   builder_.add_step(step);
-  builder_.add_map_version(map_version);
-  builder_.add_generation(generation);
+  builder_.add_version(version);
   builder_.add_group(group);
   return builder_.Finish();
 }
@@ -3850,8 +3868,7 @@
 struct MapAbortT : public flatbuffers::NativeTable {
   typedef MapAbort TableType;
   uint64_t group = 0;
-  uint64_t generation = 0;
-  uint64_t map_version = 0;
+  uint64_t version = 0;
 };
 
 struct MapAbort FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3860,23 +3877,18 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_GROUP = 4,
-    VT_GENERATION = 6,
-    VT_MAP_VERSION = 8
+    VT_VERSION = 6
   };
   uint64_t group() const {
     return GetField<uint64_t>(VT_GROUP, 0);
   }
-  uint64_t generation() const {
-    return GetField<uint64_t>(VT_GENERATION, 0);
-  }
-  uint64_t map_version() const {
-    return GetField<uint64_t>(VT_MAP_VERSION, 0);
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_GROUP, 8) &&
-           VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_MAP_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            verifier.EndTable();
   }
   MapAbortT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3891,11 +3903,8 @@
   void add_group(uint64_t group) {
     fbb_.AddElement<uint64_t>(MapAbort::VT_GROUP, group, 0);
   }
-  void add_generation(uint64_t generation) {
-    fbb_.AddElement<uint64_t>(MapAbort::VT_GENERATION, generation, 0);
-  }
-  void add_map_version(uint64_t map_version) {
-    fbb_.AddElement<uint64_t>(MapAbort::VT_MAP_VERSION, map_version, 0);
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(MapAbort::VT_VERSION, version, 0);
   }
   explicit MapAbortBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -3911,11 +3920,9 @@
 inline flatbuffers::Offset<MapAbort> CreateMapAbort(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t group = 0,
-    uint64_t generation = 0,
-    uint64_t map_version = 0) {
+    uint64_t version = 0) {
   MapAbortBuilder builder_(_fbb);
-  builder_.add_map_version(map_version);
-  builder_.add_generation(generation);
+  builder_.add_version(version);
   builder_.add_group(group);
   return builder_.Finish();
 }
@@ -3930,8 +3937,9 @@
 struct MapAskT : public flatbuffers::NativeTable {
   typedef MapAsk TableType;
   uint64_t group = 0;
+  uint64_t generation = 0;
+  uint64_t version = 0;
   uint32_t rank = 0;
-  uint64_t map_version = 0;
 };
 
 struct MapAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3940,23 +3948,28 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_GROUP = 4,
-    VT_RANK = 6,
-    VT_MAP_VERSION = 8
+    VT_GENERATION = 6,
+    VT_VERSION = 8,
+    VT_RANK = 10
   };
   uint64_t group() const {
     return GetField<uint64_t>(VT_GROUP, 0);
   }
+  uint64_t generation() const {
+    return GetField<uint64_t>(VT_GENERATION, 0);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
   uint32_t rank() const {
     return GetField<uint32_t>(VT_RANK, 0);
   }
-  uint64_t map_version() const {
-    return GetField<uint64_t>(VT_MAP_VERSION, 0);
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_GROUP, 8) &&
+           VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyField<uint32_t>(verifier, VT_RANK, 4) &&
-           VerifyField<uint64_t>(verifier, VT_MAP_VERSION, 8) &&
            verifier.EndTable();
   }
   MapAskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3971,12 +3984,15 @@
   void add_group(uint64_t group) {
     fbb_.AddElement<uint64_t>(MapAsk::VT_GROUP, group, 0);
   }
+  void add_generation(uint64_t generation) {
+    fbb_.AddElement<uint64_t>(MapAsk::VT_GENERATION, generation, 0);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(MapAsk::VT_VERSION, version, 0);
+  }
   void add_rank(uint32_t rank) {
     fbb_.AddElement<uint32_t>(MapAsk::VT_RANK, rank, 0);
   }
-  void add_map_version(uint64_t map_version) {
-    fbb_.AddElement<uint64_t>(MapAsk::VT_MAP_VERSION, map_version, 0);
-  }
   explicit MapAskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3991,10 +4007,12 @@
 inline flatbuffers::Offset<MapAsk> CreateMapAsk(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t group = 0,
-    uint32_t rank = 0,
-    uint64_t map_version = 0) {
+    uint64_t generation = 0,
+    uint64_t version = 0,
+    uint32_t rank = 0) {
   MapAskBuilder builder_(_fbb);
-  builder_.add_map_version(map_version);
+  builder_.add_version(version);
+  builder_.add_generation(generation);
   builder_.add_group(group);
   builder_.add_rank(rank);
   return builder_.Finish();
@@ -4012,10 +4030,14 @@
   uint64_t group = 0;
   uint32_t rank = 0;
   uint64_t generation = 0;
-  uint64_t map_version = 0;
-  bool armed = false;
-  bool committed = false;
+  uint64_t epoch = 0;
+  uint64_t version = 0;
+  uint64_t armed = 0;
+  uint64_t armed_step = 0;
+  uint64_t next = 0;
+  uint64_t vetoed = 0;
   uint64_t step = 0;
+  bool lost = false;
 };
 
 struct MapTell FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4026,10 +4048,14 @@
     VT_GROUP = 4,
     VT_RANK = 6,
     VT_GENERATION = 8,
-    VT_MAP_VERSION = 10,
-    VT_ARMED = 12,
-    VT_COMMITTED = 14,
-    VT_STEP = 16
+    VT_EPOCH = 10,
+    VT_VERSION = 12,
+    VT_ARMED = 14,
+    VT_ARMED_STEP = 16,
+    VT_NEXT = 18,
+    VT_VETOED = 20,
+    VT_STEP = 22,
+    VT_LOST = 24
   };
   uint64_t group() const {
     return GetField<uint64_t>(VT_GROUP, 0);
@@ -4040,27 +4066,43 @@
   uint64_t generation() const {
     return GetField<uint64_t>(VT_GENERATION, 0);
   }
-  uint64_t map_version() const {
-    return GetField<uint64_t>(VT_MAP_VERSION, 0);
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  uint64_t armed() const {
+    return GetField<uint64_t>(VT_ARMED, 0);
+  }
+  uint64_t armed_step() const {
+    return GetField<uint64_t>(VT_ARMED_STEP, 0);
   }
-  bool armed() const {
-    return GetField<uint8_t>(VT_ARMED, 0) != 0;
+  uint64_t next() const {
+    return GetField<uint64_t>(VT_NEXT, 0);
   }
-  bool committed() const {
-    return GetField<uint8_t>(VT_COMMITTED, 0) != 0;
+  uint64_t vetoed() const {
+    return GetField<uint64_t>(VT_VETOED, 0);
   }
   uint64_t step() const {
     return GetField<uint64_t>(VT_STEP, 0);
   }
+  bool lost() const {
+    return GetField<uint8_t>(VT_LOST, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_GROUP, 8) &&
            VerifyField<uint32_t>(verifier, VT_RANK, 4) &&
            VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_MAP_VERSION, 8) &&
-           VerifyField<uint8_t>(verifier, VT_ARMED, 1) &&
-           VerifyField<uint8_t>(verifier, VT_COMMITTED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ARMED, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ARMED_STEP, 8) &&
+           VerifyField<uint64_t>(verifier, VT_NEXT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_VETOED, 8) &&
            VerifyField<uint64_t>(verifier, VT_STEP, 8) &&
+           VerifyField<uint8_t>(verifier, VT_LOST, 1) &&
            verifier.EndTable();
   }
   MapTellT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4081,18 +4123,30 @@
   void add_generation(uint64_t generation) {
     fbb_.AddElement<uint64_t>(MapTell::VT_GENERATION, generation, 0);
   }
-  void add_map_version(uint64_t map_version) {
-    fbb_.AddElement<uint64_t>(MapTell::VT_MAP_VERSION, map_version, 0);
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(MapTell::VT_EPOCH, epoch, 0);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(MapTell::VT_VERSION, version, 0);
+  }
+  void add_armed(uint64_t armed) {
+    fbb_.AddElement<uint64_t>(MapTell::VT_ARMED, armed, 0);
+  }
+  void add_armed_step(uint64_t armed_step) {
+    fbb_.AddElement<uint64_t>(MapTell::VT_ARMED_STEP, armed_step, 0);
   }
-  void add_armed(bool armed) {
-    fbb_.AddElement<uint8_t>(MapTell::VT_ARMED, static_cast<uint8_t>(armed), 0);
+  void add_next(uint64_t next) {
+    fbb_.AddElement<uint64_t>(MapTell::VT_NEXT, next, 0);
   }
-  void add_committed(bool committed) {
-    fbb_.AddElement<uint8_t>(MapTell::VT_COMMITTED, static_cast<uint8_t>(committed), 0);
+  void add_vetoed(uint64_t vetoed) {
+    fbb_.AddElement<uint64_t>(MapTell::VT_VETOED, vetoed, 0);
   }
   void add_step(uint64_t step) {
     fbb_.AddElement<uint64_t>(MapTell::VT_STEP, step, 0);
   }
+  void add_lost(bool lost) {
+    fbb_.AddElement<uint8_t>(MapTell::VT_LOST, static_cast<uint8_t>(lost), 0);
+  }
   explicit MapTellBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4109,18 +4163,26 @@
     uint64_t group = 0,
     uint32_t rank = 0,
     uint64_t generation = 0,
-    uint64_t map_version = 0,
-    bool armed = false,
-    bool committed = false,
-    uint64_t step = 0) {
+    uint64_t epoch = 0,
+    uint64_t version = 0,
+    uint64_t armed = 0,
+    uint64_t armed_step = 0,
+    uint64_t next = 0,
+    uint64_t vetoed = 0,
+    uint64_t step = 0,
+    bool lost = false) {
   MapTellBuilder builder_(_fbb);
   builder_.add_step(step);
-  builder_.add_map_version(map_version);
+  builder_.add_vetoed(vetoed);
+  builder_.add_next(next);
+  builder_.add_armed_step(armed_step);
+  builder_.add_armed(armed);
+  builder_.add_version(version);
+  builder_.add_epoch(epoch);
   builder_.add_generation(generation);
   builder_.add_group(group);
   builder_.add_rank(rank);
-  builder_.add_committed(committed);
-  builder_.add_armed(armed);
+  builder_.add_lost(lost);
   return builder_.Finish();
 }
 
@@ -4131,6 +4193,126 @@
 
 flatbuffers::Offset<MapTell> CreateMapTell(flatbuffers::FlatBufferBuilder &_fbb, const MapTellT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct MapFormT : public flatbuffers::NativeTable {
+  typedef MapForm TableType;
+  uint64_t group = 0;
+  uint64_t generation = 0;
+  uint64_t version = 0;
+  uint64_t step = 0;
+  std::vector<uint16_t> assignment{};
+};
+
+struct MapForm FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef MapFormT NativeTableType;
+  typedef MapFormBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_GROUP = 4,
+    VT_GENERATION = 6,
+    VT_VERSION = 8,
+    VT_STEP = 10,
+    VT_ASSIGNMENT = 12
+  };
+  uint64_t group() const {
+    return GetField<uint64_t>(VT_GROUP, 0);
+  }
+  uint64_t generation() const {
+    return GetField<uint64_t>(VT_GENERATION, 0);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  uint64_t step() const {
+    return GetField<uint64_t>(VT_STEP, 0);
+  }
+  const flatbuffers::Vector<uint16_t> *assignment() const {
+    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_ASSIGNMENT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_GROUP, 8) &&
+           VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_STEP, 8) &&
+           VerifyOffset(verifier, VT_ASSIGNMENT) &&
+           verifier.VerifyVector(assignment()) &&
+           verifier.EndTable();
+  }
+  MapFormT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(MapFormT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<MapForm> Pack(flatbuffers::FlatBufferBuilder &_fbb, const MapFormT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct MapFormBuilder {
+  typedef MapForm Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_group(uint64_t group) {
+    fbb_.AddElement<uint64_t>(MapForm::VT_GROUP, group, 0);
+  }
+  void add_generation(uint64_t generation) {
+    fbb_.AddElement<uint64_t>(MapForm::VT_GENERATION, generation, 0);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(MapForm::VT_VERSION, version, 0);
+  }
+  void add_step(uint64_t step) {
+    fbb_.AddElement<uint64_t>(MapForm::VT_STEP, step, 0);
+  }
+  void add_assignment(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> assignment) {
+    fbb_.AddOffset(MapForm::VT_ASSIGNMENT, assignment);
+  }
+  explicit MapFormBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<MapForm> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<MapForm>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<MapForm> CreateMapForm(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t group = 0,
+    uint64_t generation = 0,
+    uint64_t version = 0,
+    uint64_t step = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> assignment = 0) {
+  MapFormBuilder builder_(_fbb);
+  builder_.add_step(step);
+  builder_.add_version(version);
+  builder_.add_generation(generation);
+  builder_.add_group(group);
+  builder_.add_assignment(assignment);
+  return builder_.Finish();
+}
+
+struct MapForm::Traits {
+  using type = MapForm;
+  static auto constexpr Create = CreateMapForm;
+};
+
+inline flatbuffers::Offset<MapForm> CreateMapFormDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t group = 0,
+    uint64_t generation = 0,
+    uint64_t version = 0,
+    uint64_t step = 0,
+    const std::vector<uint16_t> *assignment = nullptr) {
+  auto assignment__ = assignment ? _fbb.CreateVector<uint16_t>(*assignment) : 0;
+  return fulmarlink::wire::CreateMapForm(
+      _fbb,
+      group,
+      generation,
+      version,
+      step,
+      assignment__);
+}
+
+flatbuffers::Offset<MapForm> CreateMapForm(flatbuffers::FlatBufferBuilder &_fbb, const MapFormT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct LimitAskT : public flatbuffers::NativeTable {
   typedef LimitAsk TableType;
   uint64_t customer = 0;
@@ -4400,6 +4582,9 @@
   const fulmarlink::wire::MapTell *body_as_MapTell() const {
     return body_type() == fulmarlink::wire::Body::MapTell ? static_cast<const fulmarlink::wire::MapTell *>(body()) : nullptr;
   }
+  const fulmarlink::wire::MapForm *body_as_MapForm() const {
+    return body_type() == fulmarlink::wire::Body::MapForm ? static_cast<const fulmarlink::wire::MapForm *>(body()) : nullptr;
+  }
   const fulmarlink::wire::LimitAsk *body_as_LimitAsk() const {
     return body_type() == fulmarlink::wire::Body::LimitAsk ? static_cast<const fulmarlink::wire::LimitAsk *>(body()) : nullptr;
   }
@@ -4522,6 +4707,10 @@
   return body_as_MapTell();
 }
 
+template<> inline const fulmarlink::wire::MapForm *Message::body_as<fulmarlink::wire::MapForm>() const {
+  return body_as_MapForm();
+}
+
 template<> inline const fulmarlink::wire::LimitAsk *Message::body_as<fulmarlink::wire::LimitAsk>() const {
   return body_as_LimitAsk();
 }
@@ -5906,8 +6095,8 @@
   return
       (lhs.group == rhs.group) &&
       (lhs.generation == rhs.generation) &&
-      (lhs.map_version == rhs.map_version) &&
-      (lhs.base_version == rhs.base_version) &&
+      (lhs.version == rhs.version) &&
+      (lhs.base == rhs.base) &&
       (lhs.assignment == rhs.assignment);
 }
 
@@ -5927,8 +6116,8 @@
   (void)_resolver;
   { auto _e = group(); _o->group = _e; }
   { auto _e = generation(); _o->generation = _e; }
-  { auto _e = map_version(); _o->map_version = _e; }
-  { auto _e = base_version(); _o->base_version = _e; }
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = base(); _o->base = _e; }
   { auto _e = assignment(); if (_e) { _o->assignment.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->assignment[_i] = _e->Get(_i); } } }
 }
 
@@ -5942,15 +6131,15 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const MapStageT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _group = _o->group;
   auto _generation = _o->generation;
-  auto _map_version = _o->map_version;
-  auto _base_version = _o->base_version;
+  auto _version = _o->version;
+  auto _base = _o->base;
   auto _assignment = _o->assignment.size() ? _fbb.CreateVector(_o->assignment) : 0;
   return fulmarlink::wire::CreateMapStage(
       _fbb,
       _group,
       _generation,
-      _map_version,
-      _base_version,
+      _version,
+      _base,
       _assignment);
 }
 
@@ -5958,11 +6147,11 @@
 inline bool operator==(const MapStagedT &lhs, const MapStagedT &rhs) {
   return
       (lhs.group == rhs.group) &&
-      (lhs.generation == rhs.generation) &&
-      (lhs.map_version == rhs.map_version) &&
       (lhs.rank == rhs.rank) &&
+      (lhs.version == rhs.version) &&
       (lhs.refused == rhs.refused) &&
-      (lhs.known_generation == rhs.known_generation);
+      (lhs.generation == rhs.generation) &&
+      (lhs.step == rhs.step);
 }
 
 inline bool operator!=(const MapStagedT &lhs, const MapStagedT &rhs) {
@@ -5980,11 +6169,11 @@
   (void)_o;
   (void)_resolver;
   { auto _e = group(); _o->group = _e; }
-  { auto _e = generation(); _o->generation = _e; }
-  { auto _e = map_version(); _o->map_version = _e; }
   { auto _e = rank(); _o->rank = _e; }
+  { auto _e = version(); _o->version = _e; }
   { auto _e = refused(); _o->refused = _e; }
-  { auto _e = known_generation(); _o->known_generation = _e; }
+  { auto _e = generation(); _o->generation = _e; }
+  { auto _e = step(); _o->step = _e; }
 }
 
 inline flatbuffers::Offset<MapStaged> MapStaged::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MapStagedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5996,19 +6185,19 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const MapStagedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _group = _o->group;
-  auto _generation = _o->generation;
-  auto _map_version = _o->map_version;
   auto _rank = _o->rank;
+  auto _version = _o->version;
   auto _refused = _o->refused;
-  auto _known_generation = _o->known_generation;
+  auto _generation = _o->generation;
+  auto _step = _o->step;
   return fulmarlink::wire::CreateMapStaged(
       _fbb,
       _group,
-      _generation,
-      _map_version,
       _rank,
+      _version,
       _refused,
-      _known_generation);
+      _generation,
+      _step);
 }
 
 
@@ -6016,7 +6205,7 @@
   return
       (lhs.group == rhs.group) &&
       (lhs.generation == rhs.generation) &&
-      (lhs.map_version == rhs.map_version) &&
+      (lhs.version == rhs.version) &&
       (lhs.step == rhs.step);
 }
 
@@ -6036,7 +6225,7 @@
   (void)_resolver;
   { auto _e = group(); _o->group = _e; }
   { auto _e = generation(); _o->generation = _e; }
-  { auto _e = map_version(); _o->map_version = _e; }
+  { auto _e = version(); _o->version = _e; }
   { auto _e = step(); _o->step = _e; }
 }
 
@@ -6050,13 +6239,13 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const MapArmT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _group = _o->group;
   auto _generation = _o->generation;
-  auto _map_version = _o->map_version;
+  auto _version = _o->version;
   auto _step = _o->step;
   return fulmarlink::wire::CreateMapArm(
       _fbb,
       _group,
       _generation,
-      _map_version,
+      _version,
       _step);
 }
 
@@ -6064,10 +6253,10 @@
 inline bool operator==(const MapArmedT &lhs, const MapArmedT &rhs) {
   return
       (lhs.group == rhs.group) &&
-      (lhs.generation == rhs.generation) &&
-      (lhs.map_version == rhs.map_version) &&
       (lhs.rank == rhs.rank) &&
-      (lhs.refused == rhs.refused);
+      (lhs.version == rhs.version) &&
+      (lhs.refused == rhs.refused) &&
+      (lhs.generation == rhs.generation);
 }
 
 inline bool operator!=(const MapArmedT &lhs, const MapArmedT &rhs) {
@@ -6085,10 +6274,10 @@
   (void)_o;
   (void)_resolver;
   { auto _e = group(); _o->group = _e; }
-  { auto _e = generation(); _o->generation = _e; }
-  { auto _e = map_version(); _o->map_version = _e; }
   { auto _e = rank(); _o->rank = _e; }
+  { auto _e = version(); _o->version = _e; }
   { auto _e = refused(); _o->refused = _e; }
+  { auto _e = generation(); _o->generation = _e; }
 }
 
 inline flatbuffers::Offset<MapArmed> MapArmed::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MapArmedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6100,25 +6289,24 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const MapArmedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _group = _o->group;
-  auto _generation = _o->generation;
-  auto _map_version = _o->map_version;
   auto _rank = _o->rank;
+  auto _version = _o->version;
   auto _refused = _o->refused;
+  auto _generation = _o->generation;
   return fulmarlink::wire::CreateMapArmed(
       _fbb,
       _group,
-      _generation,
-      _map_version,
       _rank,
-      _refused);
+      _version,
+      _refused,
+      _generation);
 }
 
 
 inline bool operator==(const MapCommitT &lhs, const MapCommitT &rhs) {
   return
       (lhs.group == rhs.group) &&
-      (lhs.generation == rhs.generation) &&
-      (lhs.map_version == rhs.map_version) &&
+      (lhs.version == rhs.version) &&
       (lhs.step == rhs.step);
 }
 
@@ -6137,8 +6325,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = group(); _o->group = _e; }
-  { auto _e = generation(); _o->generation = _e; }
-  { auto _e = map_version(); _o->map_version = _e; }
+  { auto _e = version(); _o->version = _e; }
   { auto _e = step(); _o->step = _e; }
 }
 
@@ -6151,14 +6338,12 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const MapCommitT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _group = _o->group;
-  auto _generation = _o->generation;
-  auto _map_version = _o->map_version;
+  auto _version = _o->version;
   auto _step = _o->step;
   return fulmarlink::wire::CreateMapCommit(
       _fbb,
       _group,
-      _generation,
-      _map_version,
+      _version,
       _step);
 }
 
@@ -6166,8 +6351,7 @@
 inline bool operator==(const MapAbortT &lhs, const MapAbortT &rhs) {
   return
       (lhs.group == rhs.group) &&
-      (lhs.generation == rhs.generation) &&
-      (lhs.map_version == rhs.map_version);
+      (lhs.version == rhs.version);
 }
 
 inline bool operator!=(const MapAbortT &lhs, const MapAbortT &rhs) {
@@ -6185,8 +6369,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = group(); _o->group = _e; }
-  { auto _e = generation(); _o->generation = _e; }
-  { auto _e = map_version(); _o->map_version = _e; }
+  { auto _e = version(); _o->version = _e; }
 }
 
 inline flatbuffers::Offset<MapAbort> MapAbort::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MapAbortT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6198,21 +6381,20 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const MapAbortT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _group = _o->group;
-  auto _generation = _o->generation;
-  auto _map_version = _o->map_version;
+  auto _version = _o->version;
   return fulmarlink::wire::CreateMapAbort(
       _fbb,
       _group,
-      _generation,
-      _map_version);
+      _version);
 }
 
 
 inline bool operator==(const MapAskT &lhs, const MapAskT &rhs) {
   return
       (lhs.group == rhs.group) &&
-      (lhs.rank == rhs.rank) &&
-      (lhs.map_version == rhs.map_version);
+      (lhs.generation == rhs.generation) &&
+      (lhs.version == rhs.version) &&
+      (lhs.rank == rhs.rank);
 }
 
 inline bool operator!=(const MapAskT &lhs, const MapAskT &rhs) {
@@ -6230,8 +6412,9 @@
   (void)_o;
   (void)_resolver;
   { auto _e = group(); _o->group = _e; }
+  { auto _e = generation(); _o->generation = _e; }
+  { auto _e = version(); _o->version = _e; }
   { auto _e = rank(); _o->rank = _e; }
-  { auto _e = map_version(); _o->map_version = _e; }
 }
 
 inline flatbuffers::Offset<MapAsk> MapAsk::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MapAskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6243,13 +6426,15 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const MapAskT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _group = _o->group;
+  auto _generation = _o->generation;
+  auto _version = _o->version;
   auto _rank = _o->rank;
-  auto _map_version = _o->map_version;
   return fulmarlink::wire::CreateMapAsk(
       _fbb,
       _group,
-      _rank,
-      _map_version);
+      _generation,
+      _version,
+      _rank);
 }
 
 
@@ -6258,10 +6443,14 @@
       (lhs.group == rhs.group) &&
       (lhs.rank == rhs.rank) &&
       (lhs.generation == rhs.generation) &&
-      (lhs.map_version == rhs.map_version) &&
+      (lhs.epoch == rhs.epoch) &&
+      (lhs.version == rhs.version) &&
       (lhs.armed == rhs.armed) &&
-      (lhs.committed == rhs.committed) &&
-      (lhs.step == rhs.step);
+      (lhs.armed_step == rhs.armed_step) &&
+      (lhs.next == rhs.next) &&
+      (lhs.vetoed == rhs.vetoed) &&
+      (lhs.step == rhs.step) &&
+      (lhs.lost == rhs.lost);
 }
 
 inline bool operator!=(const MapTellT &lhs, const MapTellT &rhs) {
@@ -6281,10 +6470,14 @@
   { auto _e = group(); _o->group = _e; }
   { auto _e = rank(); _o->rank = _e; }
   { auto _e = generation(); _o->generation = _e; }
-  { auto _e = map_version(); _o->map_version = _e; }
+  { auto _e = epoch(); _o->epoch = _e; }
+  { auto _e = version(); _o->version = _e; }
   { auto _e = armed(); _o->armed = _e; }
-  { auto _e = committed(); _o->committed = _e; }
+  { auto _e = armed_step(); _o->armed_step = _e; }
+  { auto _e = next(); _o->next = _e; }
+  { auto _e = vetoed(); _o->vetoed = _e; }
   { auto _e = step(); _o->step = _e; }
+  { auto _e = lost(); _o->lost = _e; }
 }
 
 inline flatbuffers::Offset<MapTell> MapTell::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MapTellT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6298,19 +6491,80 @@
   auto _group = _o->group;
   auto _rank = _o->rank;
   auto _generation = _o->generation;
-  auto _map_version = _o->map_version;
+  auto _epoch = _o->epoch;
+  auto _version = _o->version;
   auto _armed = _o->armed;
-  auto _committed = _o->committed;
+  auto _armed_step = _o->armed_step;
+  auto _next = _o->next;
+  auto _vetoed = _o->vetoed;
   auto _step = _o->step;
+  auto _lost = _o->lost;
   return fulmarlink::wire::CreateMapTell(
       _fbb,
       _group,
       _rank,
       _generation,
-      _map_version,
+      _epoch,
+      _version,
       _armed,
-      _committed,
-      _step);
+      _armed_step,
+      _next,
+      _vetoed,
+      _step,
+      _lost);
+}
+
+
+inline bool operator==(const MapFormT &lhs, const MapFormT &rhs) {
+  return
+      (lhs.group == rhs.group) &&
+      (lhs.generation == rhs.generation) &&
+      (lhs.version == rhs.version) &&
+      (lhs.step == rhs.step) &&
+      (lhs.assignment == rhs.assignment);
+}
+
+inline bool operator!=(const MapFormT &lhs, const MapFormT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline MapFormT *MapForm::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<MapFormT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void MapForm::UnPackTo(MapFormT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = group(); _o->group = _e; }
+  { auto _e = generation(); _o->generation = _e; }
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = step(); _o->step = _e; }
+  { auto _e = assignment(); if (_e) { _o->assignment.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->assignment[_i] = _e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<MapForm> MapForm::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MapFormT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateMapForm(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<MapForm> CreateMapForm(flatbuffers::FlatBufferBuilder &_fbb, const MapFormT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const MapFormT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _group = _o->group;
+  auto _generation = _o->generation;
+  auto _version = _o->version;
+  auto _step = _o->step;
+  auto _assignment = _o->assignment.size() ? _fbb.CreateVector(_o->assignment) : 0;
+  return fulmarlink::wire::CreateMapForm(
+      _fbb,
+      _group,
+      _generation,
+      _version,
+      _step,
+      _assignment);
 }
 
 
@@ -6556,6 +6810,10 @@
       auto ptr = reinterpret_cast<const fulmarlink::wire::MapTell *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::MapForm: {
+      auto ptr = reinterpret_cast<const fulmarlink::wire::MapForm *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     case Body::LimitAsk: {
       auto ptr = reinterpret_cast<const fulmarlink::wire::LimitAsk *>(obj);
       return verifier.VerifyTable(ptr);
@@ -6687,6 +6945,10 @@
       auto ptr = reinterpret_cast<const fulmarlink::wire::MapTell *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::MapForm: {
+      auto ptr = reinterpret_cast<const fulmarlink::wire::MapForm *>(obj);
+      return ptr->UnPack(resolver);
+    }
     case Body::LimitAsk: {
       auto ptr = reinterpret_cast<const fulmarlink::wire::LimitAsk *>(obj);
       return ptr->UnPack(resolver);
@@ -6806,6 +7068,10 @@
       auto ptr = reinterpret_cast<const fulmarlink::wire::MapTellT *>(value);
       return CreateMapTell(_fbb, ptr, _rehasher).Union();
     }
+    case Body::MapForm: {
+      auto ptr = reinterpret_cast<const fulmarlink::wire::MapFormT *>(value);
+      return CreateMapForm(_fbb, ptr, _rehasher).Union();
+    }
     case Body::LimitAsk: {
       auto ptr = reinterpret_cast<const fulmarlink::wire::LimitAskT *>(value);
       return CreateLimitAsk(_fbb, ptr, _rehasher).Union();
@@ -6924,6 +7190,10 @@
       value = new fulmarlink::wire::MapTellT(*reinterpret_cast<fulmarlink::wire::MapTellT *>(u.value));
       break;
     }
+    case Body::MapForm: {
+      value = new fulmarlink::wire::MapFormT(*reinterpret_cast<fulmarlink::wire::MapFormT *>(u.value));
+      break;
+    }
     case Body::LimitAsk: {
       value = new fulmarlink::wire::LimitAskT(*reinterpret_cast<fulmarlink::wire::LimitAskT *>(u.value));
       break;
@@ -7069,6 +7339,11 @@
       delete ptr;
       break;
     }
+    case Body::MapForm: {
+      auto ptr = reinterpret_cast<fulmarlink::wire::MapFormT *>(value);
+      delete ptr;
+      break;
+    }
     case Body::LimitAsk: {
       auto ptr = reinterpret_cast<fulmarlink::wire::LimitAskT *>(value);
       delete ptr;
