--- a/app/commandline.cpp
+++ b/app/commandline.cpp
@@ -91,8 +91,11 @@
     table.push_back({"help", 'h', POPT_ARG_NONE, nullptr, kHelp, "Show this help and exit", nullptr});
     table.push_back({"version", 0, POPT_ARG_NONE, nullptr, kVersion, "Show the version and exit", nullptr});
     table.push_back({nullptr, 0, 0, nullptr, 0, nullptr, nullptr});
-    poptContext context = poptGetContext("fulmarlink", argc, argv, table.data(), 0);
-    poptSetOtherOptionHelp(context, (m_command + " [OPTION...] " + m_operandsHelp + "\n\n" + m_summary + "\n").c_str());
+    std::vector<const char *> arguments(argv, argv + argc);
+    arguments.front() = "fulmarlink"; // popt prints it before the usage
+    const std::string usage = m_command + " [OPTION...] " + m_operandsHelp + "\n\n" + m_summary + "\n\nOptions:";
+    poptContext context = poptGetContext("fulmarlink", argc, arguments.data(), table.data(), 0);
+    poptSetOtherOptionHelp(context, usage.c_str());
     code = ExitCode::Ok;
     bool goOn = true;
     int value = 0;
--- a/app/commands.h
+++ b/app/commands.h
@@ -12,6 +12,7 @@
 ExitCode runExplain(int argc, const char **argv);
 ExitCode runCtl(int argc, const char **argv);
 ExitCode runDemo(int argc, const char **argv);
+ExitCode runStandin(int argc, const char **argv);
 
 /** Reads a whole file; false, with a message on standard error, if that fails. */
 bool readFile(const std::string &path, std::string &text);
--- a/app/main.cpp
+++ b/app/main.cpp
@@ -27,6 +27,7 @@
     {"explain", runExplain, "say which rule takes a request, and why"},
     {"ctl", runCtl, "show, compare, apply and watch the configuration"},
     {"demo", runDemo, "run a whole fleet on loopback under a load"},
+    {"standin", runStandin, "run stand-ins for the platform and for engines"},
 });
 
 void printUsage(std::ostream &out)
--- a/fulmarlink/callerstream.h
+++ b/fulmarlink/callerstream.h
@@ -19,8 +19,8 @@
     static constexpr std::size_t kCapacity = 1U << 14;
     using Channel = boost::asio::experimental::concurrent_channel<void(boost::system::error_code, EntryAction)>;
 
-    explicit CallerStream(boost::asio::any_io_executor executor)
-        : m_channel(std::move(executor), kCapacity)
+    explicit CallerStream(const boost::asio::any_io_executor &executor)
+        : m_channel(executor, kCapacity)
     {
     }
 
--- a/fulmarlink/entryprocess.cpp
+++ b/fulmarlink/entryprocess.cpp
@@ -519,13 +519,13 @@
 {
     m_draining = true;
     m_server->startDrain();
-    m_keys.startDrain();
+    m_keys.startDrain(m_clock.now());
     logChange("drain-started", {{"host", m_settings.host}, {"requests", std::to_string(requests())}});
 }
 
 bool EntryProcess::drained()
 {
-    return requests() == 0 && m_server->exchanges() == 0 && m_keys.drained();
+    return requests() == 0 && m_server->exchanges() == 0 && m_keys.drained(m_clock.now());
 }
 
 void EntryProcess::cutAll()
--- a/fulmarlink/keyledger.cpp
+++ b/fulmarlink/keyledger.cpp
@@ -11,6 +11,7 @@
 #include "fulmarlink/keyledger.h"
 
 #include <algorithm>
+#include <set>
 
 #include "fulmarlink/mutation.h"
 
@@ -84,13 +85,15 @@
         return hashOf(name);
     });
     m_homes.resize(std::min<std::size_t>(m_homes.size(), m_options.homes));
+    std::set<NodeId> listed;
+    for (const std::string &name : m_listed) {
+        listed.insert(nodeId(name));
+    }
     for (Slot &slot : m_slots) {
-        for (auto &[key, record] : slot.records) {
+        for (auto &item : slot.records) {
             // The holder of a permit is gone and never said where it went: nobody will ever know.
-            const bool holderGone = std::ranges::none_of(m_listed, [&](const std::string &name) {
-                return nodeId(name) == record.holder.entry();
-            });
-            if (record.state == KeyState::Granted && holderGone) {
+            Record &record = item.second;
+            if (record.state == KeyState::Granted && !listed.contains(record.holder.entry())) {
                 record.state = KeyState::Unknown;
                 record.touched = now;
             }
@@ -341,7 +344,7 @@
     done.term = handover.term;
     done.sequence = handover.sequence;
     done.incarnation = incarnation;
-    m_messages.push_back({to, std::move(done)});
+    m_messages.push_back({to, done});
 }
 
 void KeyLedger::handoverDone(TimePoint now, NodeId from, const wire::SlotHandoverDoneT &done)
@@ -435,14 +438,15 @@
     }
 }
 
-void KeyLedger::startDrain()
+void KeyLedger::startDrain(TimePoint now)
 {
     m_draining = true;
+    m_drainUntil = now + m_options.drainLimit;
 }
 
-bool KeyLedger::drained() const
+bool KeyLedger::drained(TimePoint now) const
 {
-    return ownedSlots() == 0;
+    return m_draining && (ownedSlots() == 0 || wantedOwner(0).empty() || now >= m_drainUntil);
 }
 
 std::vector<Envelope> KeyLedger::takeMessages()
--- a/fulmarlink/keyledger.h
+++ b/fulmarlink/keyledger.h
@@ -32,6 +32,7 @@
     std::size_t maxKeys = 200'000; ///< hard limit on memory, about 200 bytes each
     unsigned homes = 16; ///< entries that are homes, chosen by rendezvous hash
     Duration handoverTimeout = std::chrono::seconds(2);
+    Duration drainLimit = std::chrono::seconds(10); ///< a leaving entry waits no longer for its successors
     Duration handoverBackoff = std::chrono::seconds(30); ///< after one that was refused or not answered
 };
 
@@ -78,8 +79,9 @@
     void handoverDone(TimePoint now, NodeId from, const wire::SlotHandoverDoneT &done);
     void tick(TimePoint now);
     /** Hands all slots over; used at shutdown. */
-    void startDrain();
-    bool drained() const;
+    void startDrain(TimePoint now);
+    /** All slots are handed over, or nobody is there to take them, or drainLimit has passed. */
+    bool drained(TimePoint now) const;
 
     std::vector<Envelope> takeMessages();
     /** The update to send, if any; asked again after updateFinished(). */
@@ -146,6 +148,7 @@
     bool m_updating = false;
     bool m_tableStale = true;
     bool m_draining = false;
+    TimePoint m_drainUntil{};
     TimePoint m_lastExpiry{};
 };
 
--- a/fulmarlink/keyservice.cpp
+++ b/fulmarlink/keyservice.cpp
@@ -52,7 +52,7 @@
                    message);
         messages = m_ledger.takeMessages();
     }
-    flush(std::move(messages));
+    flush(messages);
 }
 
 void KeyService::setTable(TimePoint now, std::uint64_t version, const std::string &text)
@@ -88,7 +88,7 @@
             m_nextRead = now + m_readBackoff;
         }
     }
-    flush(std::move(messages));
+    flush(messages);
     if (wanted) {
         update(*wanted);
     }
@@ -128,23 +128,23 @@
     });
 }
 
-void KeyService::flush(std::vector<Envelope> messages)
+void KeyService::flush(const std::vector<Envelope> &messages)
 {
     for (const Envelope &envelope : messages) {
         m_send(envelope.to, envelope.message);
     }
 }
 
-void KeyService::startDrain()
+void KeyService::startDrain(TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
-    m_ledger.startDrain();
+    m_ledger.startDrain(now);
 }
 
-bool KeyService::drained() const
+bool KeyService::drained(TimePoint now) const
 {
     const std::lock_guard lock(m_mutex);
-    return m_ledger.drained();
+    return m_ledger.drained(now);
 }
 
 unsigned KeyService::ownedSlots() const
--- a/fulmarlink/keyservice.h
+++ b/fulmarlink/keyservice.h
@@ -31,13 +31,13 @@
     void setTable(TimePoint now, std::uint64_t version, const std::string &text);
     void setEntries(TimePoint now, std::vector<std::string> entries, std::vector<std::string> allListed);
     void tick(TimePoint now);
-    void startDrain();
-    bool drained() const;
+    void startDrain(TimePoint now);
+    bool drained(TimePoint now) const;
     unsigned ownedSlots() const;
     std::size_t keys() const;
 
 private:
-    void flush(std::vector<Envelope> messages);
+    void flush(const std::vector<Envelope> &messages);
     void update(const SlotTableUpdate &update);
     void readTable();
 
--- a/fulmarlink/loadforecast.cpp
+++ b/fulmarlink/loadforecast.cpp
@@ -17,8 +17,8 @@
 constexpr double kTrendFactor = 0.2;
 constexpr double kTrendDamping = 0.7;
 constexpr double kTrendFrom = 0.5; ///< the factor above which a trend is believed
-constexpr double kVolatile = 2.0; ///< recent peak over expectation
-constexpr double kPeakDecay = 0.98; ///< an interval
+constexpr double kVolatile = 2.5; ///< recent peak over expectation
+constexpr double kPeakDecay = 0.95; ///< an interval
 constexpr unsigned kReadyAfter = 3; ///< observations
 
 } // namespace
--- a/fulmarlink/mapcoordinator.cpp
+++ b/fulmarlink/mapcoordinator.cpp
@@ -404,14 +404,14 @@
             committed.group = m_options.group;
             committed.version = m_attempt;
             committed.step = m_step;
-            m_messages.push_back({MapMessage::To::Rank, rank, std::move(committed)});
+            m_messages.push_back({MapMessage::To::Rank, rank, committed});
         }
         wire::MapAskT ask;
         ask.group = m_options.group;
         ask.generation = m_options.generation;
         ask.version = current == CoordinatorPhase::Recovering ? 0 : m_attempt;
         ask.rank = kCoordinatorRank;
-        m_messages.push_back({MapMessage::To::Rank, rank, std::move(ask)});
+        m_messages.push_back({MapMessage::To::Rank, rank, ask});
     }
 }
 
--- a/fulmarlink/maprank.cpp
+++ b/fulmarlink/maprank.cpp
@@ -246,7 +246,7 @@
     answer.refused = refused || m_staged != stage.version;
     answer.generation = m_engine.generation;
     answer.step = m_engine.step;
-    toCoordinator(std::move(answer));
+    toCoordinator(answer);
 }
 
 void MapRank::onArm(const wire::MapArmT &arm)
@@ -273,7 +273,7 @@
     answer.version = arm.version;
     answer.refused = !already && !possible;
     answer.generation = m_engine.generation;
-    toCoordinator(std::move(answer));
+    toCoordinator(answer);
 }
 
 void MapRank::commit(MapVersion version)
@@ -374,7 +374,7 @@
         ask.generation = m_engine.generation;
         ask.version = m_engine.armed;
         ask.rank = m_options.rank;
-        m_messages.push_back({MapMessage::To::Rank, peer, std::move(ask)});
+        m_messages.push_back({MapMessage::To::Rank, peer, ask});
     }
 }
 
@@ -395,9 +395,9 @@
     return told;
 }
 
-void MapRank::toCoordinator(Message message)
+void MapRank::toCoordinator(const Message &message)
 {
-    m_messages.push_back({MapMessage::To::Coordinator, 0, std::move(message)});
+    m_messages.push_back({MapMessage::To::Coordinator, 0, message});
 }
 
 const RankEngineState &MapRank::engine() const
--- a/fulmarlink/maprank.h
+++ b/fulmarlink/maprank.h
@@ -99,7 +99,7 @@
     void veto(MapVersion version);
     void askPeers(TimePoint now);
     wire::MapTellT tell() const;
-    void toCoordinator(Message message);
+    void toCoordinator(const Message &message);
 
     RankOptions m_options;
     RankEngineState m_engine;
--- a/testing/harness/mapexplorer.cpp
+++ b/testing/harness/mapexplorer.cpp
@@ -237,7 +237,7 @@
 
     Flight take(std::uint32_t index)
     {
-        const Flight flight = m_flights[index];
+        Flight flight = m_flights[index];
         m_flights.erase(m_flights.begin() + index);
         return flight;
     }
--- a/testing/harness/scenario.cpp
+++ b/testing/harness/scenario.cpp
@@ -104,7 +104,7 @@
 
     std::string host(const YamlReader &event, std::string_view key)
     {
-        const std::string name = event.requiredText(key);
+        std::string name = event.requiredText(key);
         if (std::ranges::find(m_names, name) == m_names.end()) {
             event.fail("host '" + name + "'", "a name under 'hosts'");
             return m_names.empty() ? std::string() : m_names.front();
--- a/testing/harness/world.cpp
+++ b/testing/harness/world.cpp
@@ -789,7 +789,7 @@
     });
 }
 
-void World::engineStep(RunnerNode &runner, std::shared_ptr<EngineJob> job)
+void World::engineStep(RunnerNode &runner, const std::shared_ptr<EngineJob> &job)
 {
     if (runner.stalled && !job->cancelled) {
         atNode(m_now + kTick, runner, [this, &runner, job] {
@@ -895,7 +895,7 @@
             asRunner->core->startDrain(m_now);
             performRunner(*asRunner);
         } else {
-            static_cast<EntryNode &>(*node).ledger->startDrain();
+            static_cast<EntryNode &>(*node).ledger->startDrain(m_now);
         }
     });
 }
@@ -907,7 +907,7 @@
         return asRunner->core->drained(m_now);
     }
     const auto &asEntry = static_cast<const EntryNode &>(*node);
-    return asEntry.core->requests() == 0 && asEntry.ledger->drained();
+    return asEntry.core->requests() == 0 && asEntry.ledger->drained(m_now);
 }
 
 void World::unlist(const std::string &name)
--- a/testing/harness/world.h
+++ b/testing/harness/world.h
@@ -153,7 +153,7 @@
     void deliverAnswer(EntryNode &entry, const DeliverAction &action);
     void finishAttempt(EntryNode &entry, const FinishAction &action);
     void startEngine(RunnerNode &runner, const StartEngineAction &action);
-    void engineStep(RunnerNode &runner, std::shared_ptr<EngineJob> job);
+    void engineStep(RunnerNode &runner, const std::shared_ptr<EngineJob> &job);
     void publishList();
     void refreshList(EntryNode &entry);
     void note(const std::string &text);
