The last attempt queues where the fresh reports show the shortest queue

Cause: at 95% p99 to first token was set by the last attempt, which queued at whatever runner the picker drew, though the refusals just received had named fresher loads. Change: on the last attempt the directory compares the runners that refused with the new one.

--- a/fulmarlink/entrycore.cpp
+++ b/fulmarlink/entrycore.cpp
@@ -344,6 +344,7 @@
     context.prefixHash = request.info.prefixHash;
     context.preferLocalZone = request.route.preferLocalZone;
     context.attempt = request.attempts;
+    context.last = request.attempts + 1 >= request.route.maxAttempts;
     auto runner = m_services.directory.pick(request.route.pool, context, request.tried);
     if (!runner && !request.tried.empty()) {
         runner = m_services.directory.pick(request.route.pool, context, {});
--- a/fulmarlink/picker.h
+++ b/fulmarlink/picker.h
@@ -24,6 +24,7 @@
     std::uint64_t prefixHash = 0; ///< 0: the request has no prompt prefix
     bool preferLocalZone = true;
     unsigned attempt = 0; ///< dispatches of this request before this one
+    bool last = false; ///< the agent will queue the request: the shortest queue counts, not a free slot
 };
 
 /**
--- a/fulmarlink/runnerdirectory.cpp
+++ b/fulmarlink/runnerdirectory.cpp
@@ -144,7 +144,27 @@
     if (fresh.empty()) {
         return std::nullopt;
     }
-    return fresh[m_picker->pick(fresh, context, m_random)].id;
+    const NodeId picked = fresh[m_picker->pick(fresh, context, m_random)].id;
+    return context.last ? shortestQueue(context, tried, picked) : picked;
+}
+
+/** Of the runners that have just refused, whose loads came with the refusals, and a new one: the least loaded. */
+NodeId RunnerDirectory::shortestQueue(const PickContext &context, std::span<const NodeId> tried, NodeId fresh) const
+{
+    NodeId best = fresh;
+    double bestScore = loadScore(candidateOf(context.now, m_runners.at(fresh)), context.now);
+    for (const NodeId id : tried) {
+        const auto it = m_runners.find(id);
+        if (it == m_runners.end() || !takesWork(it->second) || stateOf(context.now, it->second) == RunnerState::Suspect) {
+            continue;
+        }
+        const double score = loadScore(candidateOf(context.now, it->second), context.now);
+        if (score < bestScore) {
+            best = id;
+            bestScore = score;
+        }
+    }
+    return best;
 }
 
 void RunnerDirectory::started(NodeId id)
--- a/fulmarlink/runnerdirectory.h
+++ b/fulmarlink/runnerdirectory.h
@@ -55,7 +55,9 @@
     void linkDown(NodeId id);
     void reportLoad(NodeId id, std::uint64_t incarnation, const RunnerLoad &load, bool leaving);
 
-    /** A runner for a new dispatch, or none. Runners in @p tried are only given when nothing else is left. */
+    /**
+     * A runner for a new dispatch, or none. Runners in @p tried are only given when nothing else is left,
+     * or for the last attempt, when their fresh reports show the shortest queue. */
     std::optional<NodeId> pick(std::string_view pool, const PickContext &context, std::span<const NodeId> tried);
     void started(NodeId id);
     void finished(TimePoint now, NodeId id, RunnerVerdict verdict);
@@ -89,6 +91,7 @@
         bool listed = true;
     };
 
+    NodeId shortestQueue(const PickContext &context, std::span<const NodeId> tried, NodeId fresh) const;
     RunnerState stateOf(TimePoint now, const Runner &runner) const;
     bool takesWork(const Runner &runner) const;
     Candidate candidateOf(TimePoint now, const Runner &runner) const;
