Capacity bench: slopes and the tables they give; acknowledge by bytes

Found by working the sum out: an acknowledgement for each eight chunks costs 57 of them for an answer of 457 tokens, about 37 KB/s of control at an entry of the full size against a budget of 4. Change: acknowledge each 32 KiB and at the end: two for a typical answer.

--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -229,7 +229,8 @@
         EntryOptions options;
         options.self = entry->id;
         options.incarnation = 1;
-        entry->core = std::make_unique<EntryCore>(options, EntryCore::Services{*entry->directory, *entry->budget, *entry->counters, m_homes}, mixHash(m_options.seed, i + 1));
+        entry->core = std::make_unique<EntryCore>(
+            options, EntryCore::Services{*entry->directory, *entry->budget, *entry->counters, m_homes}, mixHash(m_options.seed, i + 1));
         std::vector<HostInfo> hosts;
         for (unsigned runner = 0; runner < m_options.runners; ++runner) {
             hosts.push_back({runnerName(runner), "pool", "z" + std::to_string(runner % kZones), "", 1, false});
@@ -537,9 +538,13 @@
 void printPickers(unsigned entries, unsigned runners, Duration time, unsigned seeds)
 {
     for (const double load : {0.5, 0.8, 0.95, 1.2}) {
-        std::cout << "\n" << entries << " entries, " << runners << " runners, " << std::fixed << std::setprecision(0) << load * 100 << "% of capacity, seeds 1 to " << seeds << "\n";
-        std::cout << std::left << std::setw(16) << "picker" << std::right << std::setw(9) << "p50 ms" << std::setw(9) << "p99 ms" << std::setw(11) << "answered" << std::setw(9) << "refused" << std::setw(8) << "broken"
-                  << std::setw(8) << "hits" << std::setw(8) << "xzone" << std::setw(12) << "control B/s" << "\n";
+        std::cout << "\n"
+                  << entries << " entries, " << runners << " runners, " << std::fixed << std::setprecision(0) << load * 100 << "% of capacity, seeds 1 to "
+                  << seeds << "\n";
+        std::cout << std::left << std::setw(16) << "picker" << std::right << std::setw(9) << "p50 ms" << std::setw(9) << "p99 ms" << std::setw(11) << "answered"
+                  << std::setw(9) << "refused" << std::setw(8) << "broken" << std::setw(8) << "hits" << std::setw(8) << "xzone" << std::setw(12)
+                  << "control B/s"
+                  << "\n";
         for (const char *picker : {"omniscient", "random", "round_robin", "least_requests", "two_choices", "reported_two", "affinity"}) {
             FleetOptions options;
             options.entries = entries;
@@ -549,10 +554,11 @@
             options.time = time;
             unsigned dispatches = 0;
             const FleetResult result = average(options, seeds, dispatches);
-            std::cout << std::left << std::setw(16) << picker << std::right << std::setprecision(0) << std::setw(9) << percentile(result.firstToken, 0.5) << std::setw(9) << percentile(result.firstToken, 0.99)
-                      << std::setprecision(3) << std::setw(11) << static_cast<double>(result.answered) / result.sent << std::setw(9) << static_cast<double>(result.refused) / result.sent << std::setw(8) << result.broken
-                      << std::setw(8) << std::setprecision(2) << static_cast<double>(result.hits) / dispatches << std::setw(8) << static_cast<double>(result.crossZone) / dispatches << std::setprecision(0) << std::setw(12)
-                      << result.controlBytes << '\n';
+            std::cout << std::left << std::setw(16) << picker << std::right << std::setprecision(0) << std::setw(9) << percentile(result.firstToken, 0.5)
+                      << std::setw(9) << percentile(result.firstToken, 0.99) << std::setprecision(3) << std::setw(11)
+                      << static_cast<double>(result.answered) / result.sent << std::setw(9) << static_cast<double>(result.refused) / result.sent << std::setw(8)
+                      << result.broken << std::setw(8) << std::setprecision(2) << static_cast<double>(result.hits) / dispatches << std::setw(8)
+                      << static_cast<double>(result.crossZone) / dispatches << std::setprecision(0) << std::setw(12) << result.controlBytes << '\n';
         }
     }
 }
@@ -561,8 +567,9 @@
 {
     static constexpr const char *kNames[] = {"none", "slow runner", "fast-failing runner", "newcomer", "zone lost", "large customer x10"};
     std::cout << "\ntraps: 4 entries, 16 runners, 60% of capacity, picker affinity, the trap after a third of the time\n";
-    std::cout << std::left << std::setw(22) << "trap" << std::right << std::setw(9) << "p50 ms" << std::setw(9) << "p99 ms" << std::setw(14) << "others p99" << std::setw(11) << "answered" << std::setw(9) << "refused" << std::setw(8)
-              << "broken" << "\n";
+    std::cout << std::left << std::setw(22) << "trap" << std::right << std::setw(9) << "p50 ms" << std::setw(9) << "p99 ms" << std::setw(14) << "others p99"
+              << std::setw(11) << "answered" << std::setw(9) << "refused" << std::setw(8) << "broken"
+              << "\n";
     for (int i = 0; i <= static_cast<int>(Trap::LargeCustomer); ++i) {
         FleetOptions options;
         options.load = 0.6;
@@ -570,9 +577,10 @@
         options.trap = static_cast<Trap>(i);
         unsigned dispatches = 0;
         const FleetResult result = average(options, seeds, dispatches);
-        std::cout << std::left << std::setw(22) << kNames[i] << std::right << std::fixed << std::setprecision(0) << std::setw(9) << percentile(result.firstToken, 0.5) << std::setw(9) << percentile(result.firstToken, 0.99)
-                  << std::setw(14) << percentile(result.othersFirstToken, 0.99) << std::setprecision(3) << std::setw(11) << static_cast<double>(result.answered) / result.sent << std::setw(9)
-                  << static_cast<double>(result.refused) / result.sent << std::setw(8) << result.broken << '\n';
+        std::cout << std::left << std::setw(22) << kNames[i] << std::right << std::fixed << std::setprecision(0) << std::setw(9)
+                  << percentile(result.firstToken, 0.5) << std::setw(9) << percentile(result.firstToken, 0.99) << std::setw(14)
+                  << percentile(result.othersFirstToken, 0.99) << std::setprecision(3) << std::setw(11) << static_cast<double>(result.answered) / result.sent
+                  << std::setw(9) << static_cast<double>(result.refused) / result.sent << std::setw(8) << result.broken << '\n';
     }
 }
 
--- a/fulmarlink/entryserver.cpp
+++ b/fulmarlink/entryserver.cpp
@@ -31,7 +31,7 @@
 {
 
 constexpr int kHttp11 = 11;
-constexpr std::uint32_t kAckEvery = 8; ///< chunks
+constexpr std::size_t kAckBytes = 32U << 10; ///< taken by the caller since the last acknowledgement; an eighth of the agent's window
 constexpr std::size_t kPrefixBytes = 1024; ///< of a prompt, for cache affinity
 constexpr std::chrono::seconds kWriteTimeout{60};
 
@@ -90,7 +90,7 @@
     bool eventStream = false;
     bool finished = false;
     bool usable = false; ///< the connection may carry another request
-    std::uint32_t acked = 0;
+    std::size_t unacked = 0; ///< bytes
 };
 
 EntryServer::EntryServer(asio::any_io_executor executor, const EntrySettings &settings, CallerHandler &handler, const Clock &clock, Counters &counters)
@@ -262,8 +262,9 @@
         if (!deliver->data.empty() && exchange.bodyAllowed && !co_await writeData(exchange, deliver->data)) {
             co_return;
         }
-        if (deliver->nextSequence >= exchange.acked + kAckEvery) {
-            exchange.acked = deliver->nextSequence;
+        exchange.unacked += deliver->data.size();
+        if (exchange.unacked >= kAckBytes) {
+            exchange.unacked = 0;
             m_handler.callerTook(exchange.id, deliver->nextSequence);
         }
     }
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -88,11 +88,14 @@
     const std::string zone = m_options.zones[index % m_options.zones.size()];
     EngineOptions options = engine;
     options.name = name;
+    options.step = m_options.engineStep;
     m_engines.push_back(std::make_shared<Engine>(m_context.get_executor(), options));
     const std::uint16_t port = m_engines.back()->listen(kLoopback, 0);
+    m_enginePorts.push_back(port);
     const std::string text = "host: " + name + "\nzone: " + zone + "\n" + target("links", 0) + "agent:\n  pool: " + pool + "\n  " + target("runner", port)
                              + "  concurrency: " + std::to_string(options.batch) + "\n  refusal_statuses: [503]\n";
-    m_agents.push_back(std::make_unique<AgentProcess>(m_context, parseSettings(text), m_incarnation++));
+    m_agents.push_back(
+        std::make_unique<AgentProcess>(m_options.agentContext != nullptr ? *m_options.agentContext : m_context, parseSettings(text), m_incarnation++));
     m_agents.back()->start();
     m_agentHosts.push_back({name, pool, zone, kLoopback, m_agents.back()->linkPort(), false});
 }
@@ -104,7 +107,8 @@
     const std::string text = "host: " + name + "\nzone: " + zone + "\n" + target("links", 0) + target("admin", 0) + "platform:\n  "
                              + target("object_api", m_storePort) + "  " + target("host_list", m_storePort) + "  host_list_interval_ms: 200\nentry:\n  "
                              + target("listen", 0) + "  runners: {picker: " + m_options.picker + "}\n";
-    m_entries.push_back(std::make_unique<EntryProcess>(m_context, parseSettings(text), m_incarnation++));
+    m_entries.push_back(
+        std::make_unique<EntryProcess>(m_options.entryContext != nullptr ? *m_options.entryContext : m_context, parseSettings(text), m_incarnation++));
     m_entries.back()->start();
     m_entryHosts.push_back({name, "entry", zone, kLoopback, m_entries.back()->linkPort(), false});
 }
@@ -197,6 +201,11 @@
     return ports;
 }
 
+std::uint16_t Fleet::enginePort(std::size_t index) const
+{
+    return m_enginePorts[index];
+}
+
 std::uint16_t Fleet::storePort() const
 {
     return m_storePort;
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -22,6 +22,9 @@
     unsigned serviceRunners = 3;
     std::string rules; ///< empty: defaultRules()
     std::string picker = "affinity";
+    std::chrono::microseconds engineStep{2000}; ///< between tokens
+    boost::asio::io_context *entryContext = nullptr; ///< where the entries run; null: with all else
+    boost::asio::io_context *agentContext = nullptr; ///< where the agents run; null: with all else
 };
 
 /**
@@ -48,6 +51,7 @@
     std::vector<std::shared_ptr<Engine>> &engines();
     std::vector<std::uint16_t> callerPorts() const;
     std::uint16_t storePort() const;
+    std::uint16_t enginePort(std::size_t index) const;
 
     static std::string defaultRules(const FleetOptions &options);
 
@@ -63,6 +67,7 @@
     std::vector<std::unique_ptr<EntryProcess>> m_entries;
     std::vector<std::unique_ptr<AgentProcess>> m_agents;
     std::vector<std::shared_ptr<Engine>> m_engines;
+    std::vector<std::uint16_t> m_enginePorts;
     std::vector<HostInfo> m_entryHosts;
     std::vector<HostInfo> m_agentHosts;
     std::vector<bool> m_dropped;
--- a/standins/load.cpp
+++ b/standins/load.cpp
@@ -91,7 +91,8 @@
     const bool service = kind < m_options.serviceShare;
     const bool single = !service && kind < m_options.serviceShare + m_options.noteShare;
     const std::string serial = "r" + std::to_string(m_options.seed) + '-' + std::to_string(index);
-    const unsigned tokens = service ? 0 : 1 + static_cast<unsigned>(random() % kMaxTokens);
+    const unsigned drawn = 1 + static_cast<unsigned>(random() % kMaxTokens);
+    const unsigned tokens = service ? 0 : m_options.tokens != 0 ? m_options.tokens : drawn;
 
     HttpRequest request(service ? http::verb::get : http::verb::post, service ? "/status" : single ? "/v1/generate/note" : "/v1/generate/explain", kHttp11);
     request.set("X-Customer", "customer-" + std::to_string(random() % m_options.customers));
--- a/standins/load.h
+++ b/standins/load.h
@@ -23,6 +23,7 @@
     unsigned maxTries = 6; ///< of one request, by the caller
     double noteShare = 0.2; ///< requests that may run once only, each with an idempotency key
     double serviceShare = 0.3; ///< requests for the plain service
+    unsigned tokens = 0; ///< of each generated answer; 0: drawn
 };
 
 /** What the callers' own ledger says; nothing in it comes from the balancer's counters. */
