--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -608,7 +608,7 @@
         printTraps(seeds);
     }
     if (large || all) {
-        printPickers(370, 600, 10s, std::min(seeds, 2U));
+        printPickers(370, 600, 10s, std::min(seeds, 5U));
     }
     return 0;
 }
--- a/testing/docs_test.cpp
+++ b/testing/docs_test.cpp
@@ -142,7 +142,7 @@
 {
     // Rows of the page's budget tables name the slope they come from, and each slope names its command.
     const std::string page = read(kRoot / "docs/CAPACITY.md");
-    const std::regex slope("\\| (S[0-9]+) \\|[^\\n]*`[^`]+`");
+    const std::regex slope("\\| (S[0-9]+) \\|[^\\n]*`[^`\\n]+`");
     std::vector<std::string> slopes;
     for (auto it = std::sregex_iterator(page.begin(), page.end(), slope); it != std::sregex_iterator(); ++it) {
         slopes.push_back((*it)[1]);
