Customers' limits over all entries: a home for each, asked ahead

Cause: rules accepted a limit that nothing enforced. Change: CustomerLimiter, a token bucket at each customer's home among the entries, asks ahead by demand, a bounded fallback while the home is out of reach.

--- a/fulmarlink/entrycore.cpp
+++ b/fulmarlink/entrycore.cpp
@@ -75,6 +75,7 @@
     TimePoint permitUntil{};
     TimePoint linkUntil{};
 
+    bool limited = false; ///< waits for its customer's limit
     bool keyed = false; ///< needs a permit of its key's home
     KeyHash key;
     DispatchId permitId;
@@ -133,6 +134,33 @@
     m_requests.emplace(id, std::move(owned));
     setWake(request, request.deadline);
     m_services.budget.countFirst();
+    if (route.limit) {
+        request.limited = true;
+        m_actions.push_back(LimitAction{id, hashOf(request.info.customer), std::max(1U, request.info.promptTokens), *route.limit});
+        return;
+    }
+    begin(now, request);
+}
+
+void EntryCore::limitDecided(TimePoint now, RequestId id, bool granted, Duration retryAfter)
+{
+    const auto it = m_requests.find(id);
+    if (it == m_requests.end() || !it->second->limited) {
+        return;
+    }
+    Request &request = *it->second;
+    request.limited = false;
+    if (granted) {
+        begin(now, request);
+        return;
+    }
+    request.retryAfter = retryAfter;
+    follow(now, request, request.machine.giveUp(ResultCode::CustomerLimit));
+}
+
+/** The limit allows it: ask for the key's permit, or choose a runner. */
+void EntryCore::begin(TimePoint now, Request &request)
+{
     if (!request.keyed) {
         follow(now, request, request.machine.ready());
         return;
--- a/fulmarlink/entrycore.h
+++ b/fulmarlink/entrycore.h
@@ -55,7 +55,15 @@
     NodeId node = 0;
 };
 
-using EntryAction = std::variant<DeliverAction, FinishAction, SendAction, OpenLinkAction>;
+/** Ask the customer's limit for tokens; limitDecided() follows. */
+struct LimitAction {
+    RequestId request = 0;
+    std::uint64_t customer = 0;
+    std::uint32_t tokens = 0;
+    TokenLimit limit;
+};
+
+using EntryAction = std::variant<DeliverAction, FinishAction, SendAction, OpenLinkAction, LimitAction>;
 
 /** Where the home of an idempotency key is. */
 class KeyHomes
@@ -114,6 +122,7 @@
     /** The link could not be opened; nothing was sent on it. */
     void linkFailed(TimePoint now, NodeId node);
     void linkDown(TimePoint now, NodeId node);
+    void limitDecided(TimePoint now, RequestId id, bool granted, Duration retryAfter);
     void callerGone(TimePoint now, RequestId id);
     /** The caller's socket has taken all chunks before @p nextSequence. */
     void callerTook(TimePoint now, RequestId id, std::uint32_t nextSequence);
@@ -128,6 +137,7 @@
     struct Request;
     using RequestMap = std::unordered_map<RequestId, std::unique_ptr<Request>>;
 
+    void begin(TimePoint now, Request &request);
     void askPermit(TimePoint now, Request &request);
     void onPermitReply(TimePoint now, const wire::PermitReplyT &reply);
     void onRefuse(TimePoint now, NodeId from, const wire::RefuseT &refuse);
--- a/fulmarlink/entryprocess.cpp
+++ b/fulmarlink/entryprocess.cpp
@@ -44,6 +44,13 @@
     return options;
 }
 
+LimiterOptions limiterOptions(const Settings &settings)
+{
+    LimiterOptions options;
+    options.self = nodeId(settings.host);
+    return options;
+}
+
 SpreadOptions spreadOptions(const Settings &settings)
 {
     SpreadOptions options;
@@ -81,6 +88,7 @@
               m_keys.setTable(m_clock.now(), version, text);
               offerDocument(KeyService::kDocument, version, text);
           })
+    , m_limiter(limiterOptions(m_settings), m_counters)
     , m_spread(spreadOptions(m_settings), {kRulesDocument, KeyService::kDocument}, mixHash(incarnation, m_self))
     , m_tickTimer(context)
     , m_hostTimer(context)
@@ -219,6 +227,15 @@
             m_hub->open(opening->node);
             continue;
         }
+        if (const auto *limiting = std::get_if<LimitAction>(&action)) {
+            // Posted: the answer comes back into the shard, whose lock is held here.
+            asio::post(m_context, [this, wanted = *limiting] {
+                limit([&](TimePoint now) {
+                    m_limiter.take(now, wanted);
+                });
+            });
+            continue;
+        }
         const auto *finish = std::get_if<FinishAction>(&action);
         const RequestId id = finish != nullptr ? finish->request : std::get<DeliverAction>(action).request;
         const auto it = shard.callers.find(id);
@@ -244,6 +261,27 @@
     });
 }
 
+template<typename Event>
+void EntryProcess::limit(Event event)
+{
+    std::vector<Envelope> messages;
+    std::vector<LimitDecision> decisions;
+    {
+        const std::lock_guard lock(m_limiterMutex);
+        event(m_clock.now());
+        messages = m_limiter.takeMessages();
+        decisions = m_limiter.takeDecisions();
+    }
+    for (const Envelope &envelope : messages) {
+        send(envelope.to, envelope.message);
+    }
+    for (const LimitDecision &decision : decisions) {
+        decide(decision.request, [&](TimePoint now, EntryCore &core) {
+            core.limitDecided(now, decision.request, decision.granted, decision.retryAfter);
+        });
+    }
+}
+
 void EntryProcess::receive(NodeId from, const Message &message)
 {
     const TimePoint now = m_clock.now();
@@ -272,6 +310,16 @@
                            core.receive(at, from, message);
                        });
                    },
+                   [&](const wire::LimitAskT & /*ask*/) {
+                       limit([&](TimePoint at) {
+                           m_limiter.receive(at, from, message);
+                       });
+                   },
+                   [&](const wire::LimitGrantT & /*grant*/) {
+                       limit([&](TimePoint at) {
+                           m_limiter.receive(at, from, message);
+                       });
+                   },
                    [&](const wire::DocumentVersionT & /*told*/) {
                        spread(message, from);
                    },
@@ -474,6 +522,13 @@
         }
     }
     m_directory.setHosts(now, hosts);
+    std::vector<NodeId> homes;
+    for (const std::string &name : live) {
+        homes.push_back(nodeId(name));
+    }
+    limit([&](TimePoint at) {
+        m_limiter.setEntries(at, homes);
+    });
     m_keys.setEntries(now, std::move(live), std::move(listed));
     const std::lock_guard lock(m_spreadMutex);
     m_spread.setPeers(entries);
@@ -498,6 +553,9 @@
     });
     const TimePoint now = m_clock.now();
     m_keys.tick(now);
+    limit([&](TimePoint at) {
+        m_limiter.tick(at);
+    });
     for (const NodeId node : m_directory.relinkCandidates(now)) {
         m_hub->open(node);
     }
--- a/fulmarlink/entryprocess.h
+++ b/fulmarlink/entryprocess.h
@@ -9,6 +9,7 @@
 
 #include "fulmarlink/clock.h"
 #include "fulmarlink/counters.h"
+#include "fulmarlink/customerlimiter.h"
 #include "fulmarlink/documentspread.h"
 #include "fulmarlink/entrycore.h"
 #include "fulmarlink/entryserver.h"
@@ -77,6 +78,9 @@
     void perform(Shard &shard, std::vector<EntryAction> actions);
     void send(NodeId to, const Message &message);
     void receive(NodeId from, const Message &message);
+    /** Calls @p event with the limiter under its lock, then carries out what it decides. */
+    template<typename Event>
+    void limit(Event event);
     void spread(const Message &message, NodeId from);
     void flushSpread();
     void offerDocument(const std::string &name, std::uint64_t version, const std::string &text);
@@ -103,6 +107,8 @@
     RunnerDirectory m_directory;
     RetryBudget m_budget;
     KeyService m_keys;
+    std::mutex m_limiterMutex;
+    CustomerLimiter m_limiter;
     std::mutex m_spreadMutex;
     DocumentSpread m_spread;
     mutable std::mutex m_rulesMutex;
--- a/proto/protocol_generated.h
+++ b/proto/protocol_generated.h
@@ -4317,7 +4317,10 @@
   typedef LimitAsk TableType;
   uint64_t customer = 0;
   uint32_t tokens = 0;
+  uint32_t least = 0;
   uint64_t sequence = 0;
+  uint64_t rate = 0;
+  uint64_t burst = 0;
 };
 
 struct LimitAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4327,7 +4330,10 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CUSTOMER = 4,
     VT_TOKENS = 6,
-    VT_SEQUENCE = 8
+    VT_LEAST = 8,
+    VT_SEQUENCE = 10,
+    VT_RATE = 12,
+    VT_BURST = 14
   };
   uint64_t customer() const {
     return GetField<uint64_t>(VT_CUSTOMER, 0);
@@ -4335,14 +4341,26 @@
   uint32_t tokens() const {
     return GetField<uint32_t>(VT_TOKENS, 0);
   }
+  uint32_t least() const {
+    return GetField<uint32_t>(VT_LEAST, 0);
+  }
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
   }
+  uint64_t rate() const {
+    return GetField<uint64_t>(VT_RATE, 0);
+  }
+  uint64_t burst() const {
+    return GetField<uint64_t>(VT_BURST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CUSTOMER, 8) &&
            VerifyField<uint32_t>(verifier, VT_TOKENS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_LEAST, 4) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_RATE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_BURST, 8) &&
            verifier.EndTable();
   }
   LimitAskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4360,9 +4378,18 @@
   void add_tokens(uint32_t tokens) {
     fbb_.AddElement<uint32_t>(LimitAsk::VT_TOKENS, tokens, 0);
   }
+  void add_least(uint32_t least) {
+    fbb_.AddElement<uint32_t>(LimitAsk::VT_LEAST, least, 0);
+  }
   void add_sequence(uint64_t sequence) {
     fbb_.AddElement<uint64_t>(LimitAsk::VT_SEQUENCE, sequence, 0);
   }
+  void add_rate(uint64_t rate) {
+    fbb_.AddElement<uint64_t>(LimitAsk::VT_RATE, rate, 0);
+  }
+  void add_burst(uint64_t burst) {
+    fbb_.AddElement<uint64_t>(LimitAsk::VT_BURST, burst, 0);
+  }
   explicit LimitAskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4378,10 +4405,16 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t customer = 0,
     uint32_t tokens = 0,
-    uint64_t sequence = 0) {
+    uint32_t least = 0,
+    uint64_t sequence = 0,
+    uint64_t rate = 0,
+    uint64_t burst = 0) {
   LimitAskBuilder builder_(_fbb);
+  builder_.add_burst(burst);
+  builder_.add_rate(rate);
   builder_.add_sequence(sequence);
   builder_.add_customer(customer);
+  builder_.add_least(least);
   builder_.add_tokens(tokens);
   return builder_.Finish();
 }
@@ -4398,7 +4431,7 @@
   uint64_t customer = 0;
   uint32_t tokens = 0;
   uint64_t sequence = 0;
-  uint32_t valid_ms = 0;
+  uint32_t retry_after_ms = 0;
 };
 
 struct LimitGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4409,7 +4442,7 @@
     VT_CUSTOMER = 4,
     VT_TOKENS = 6,
     VT_SEQUENCE = 8,
-    VT_VALID_MS = 10
+    VT_RETRY_AFTER_MS = 10
   };
   uint64_t customer() const {
     return GetField<uint64_t>(VT_CUSTOMER, 0);
@@ -4420,15 +4453,15 @@
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
   }
-  uint32_t valid_ms() const {
-    return GetField<uint32_t>(VT_VALID_MS, 0);
+  uint32_t retry_after_ms() const {
+    return GetField<uint32_t>(VT_RETRY_AFTER_MS, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CUSTOMER, 8) &&
            VerifyField<uint32_t>(verifier, VT_TOKENS, 4) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
-           VerifyField<uint32_t>(verifier, VT_VALID_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
            verifier.EndTable();
   }
   LimitGrantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4449,8 +4482,8 @@
   void add_sequence(uint64_t sequence) {
     fbb_.AddElement<uint64_t>(LimitGrant::VT_SEQUENCE, sequence, 0);
   }
-  void add_valid_ms(uint32_t valid_ms) {
-    fbb_.AddElement<uint32_t>(LimitGrant::VT_VALID_MS, valid_ms, 0);
+  void add_retry_after_ms(uint32_t retry_after_ms) {
+    fbb_.AddElement<uint32_t>(LimitGrant::VT_RETRY_AFTER_MS, retry_after_ms, 0);
   }
   explicit LimitGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -4468,11 +4501,11 @@
     uint64_t customer = 0,
     uint32_t tokens = 0,
     uint64_t sequence = 0,
-    uint32_t valid_ms = 0) {
+    uint32_t retry_after_ms = 0) {
   LimitGrantBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_customer(customer);
-  builder_.add_valid_ms(valid_ms);
+  builder_.add_retry_after_ms(retry_after_ms);
   builder_.add_tokens(tokens);
   return builder_.Finish();
 }
@@ -6572,7 +6605,10 @@
   return
       (lhs.customer == rhs.customer) &&
       (lhs.tokens == rhs.tokens) &&
-      (lhs.sequence == rhs.sequence);
+      (lhs.least == rhs.least) &&
+      (lhs.sequence == rhs.sequence) &&
+      (lhs.rate == rhs.rate) &&
+      (lhs.burst == rhs.burst);
 }
 
 inline bool operator!=(const LimitAskT &lhs, const LimitAskT &rhs) {
@@ -6591,7 +6627,10 @@
   (void)_resolver;
   { auto _e = customer(); _o->customer = _e; }
   { auto _e = tokens(); _o->tokens = _e; }
+  { auto _e = least(); _o->least = _e; }
   { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = rate(); _o->rate = _e; }
+  { auto _e = burst(); _o->burst = _e; }
 }
 
 inline flatbuffers::Offset<LimitAsk> LimitAsk::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LimitAskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6604,12 +6643,18 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LimitAskT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _customer = _o->customer;
   auto _tokens = _o->tokens;
+  auto _least = _o->least;
   auto _sequence = _o->sequence;
+  auto _rate = _o->rate;
+  auto _burst = _o->burst;
   return fulmarlink::wire::CreateLimitAsk(
       _fbb,
       _customer,
       _tokens,
-      _sequence);
+      _least,
+      _sequence,
+      _rate,
+      _burst);
 }
 
 
@@ -6618,7 +6663,7 @@
       (lhs.customer == rhs.customer) &&
       (lhs.tokens == rhs.tokens) &&
       (lhs.sequence == rhs.sequence) &&
-      (lhs.valid_ms == rhs.valid_ms);
+      (lhs.retry_after_ms == rhs.retry_after_ms);
 }
 
 inline bool operator!=(const LimitGrantT &lhs, const LimitGrantT &rhs) {
@@ -6638,7 +6683,7 @@
   { auto _e = customer(); _o->customer = _e; }
   { auto _e = tokens(); _o->tokens = _e; }
   { auto _e = sequence(); _o->sequence = _e; }
-  { auto _e = valid_ms(); _o->valid_ms = _e; }
+  { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
 }
 
 inline flatbuffers::Offset<LimitGrant> LimitGrant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LimitGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6652,13 +6697,13 @@
   auto _customer = _o->customer;
   auto _tokens = _o->tokens;
   auto _sequence = _o->sequence;
-  auto _valid_ms = _o->valid_ms;
+  auto _retry_after_ms = _o->retry_after_ms;
   return fulmarlink::wire::CreateLimitGrant(
       _fbb,
       _customer,
       _tokens,
       _sequence,
-      _valid_ms);
+      _retry_after_ms);
 }
 
 
--- /dev/null
+++ b/testing/harness/limitworld.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "fulmarlink/customerlimiter.h"
+
+namespace fulmarlink::testing
+{
+
+/** Entries with real limiters on a virtual clock, and messages that take a millisecond. */
+class LimitWorld
+{
+public:
+    LimitWorld(unsigned entries, std::uint64_t seed);
+
+    /** A request of @p tokens at an entry. */
+    void request(unsigned entry, std::uint64_t customer, std::uint32_t tokens, const TokenLimit &limit);
+    /** Dies at once; the others' list drops it after @p lag. */
+    void kill(unsigned entry, Duration lag);
+    /** Starts anew; the others' list has it after @p lag. */
+    void join(unsigned entry, Duration lag);
+    /** Nothing passes between entries. */
+    void cutAll(bool cut);
+    void run(Duration time);
+
+    TimePoint now() const;
+    bool up(unsigned entry) const;
+    double granted(std::uint64_t customer) const; ///< tokens
+    unsigned refused() const;
+    std::uint64_t messages() const;
+
+private:
+    struct Entry {
+        std::unique_ptr<Counters> counters;
+        std::unique_ptr<CustomerLimiter> limiter;
+        bool up = false;
+        bool listed = false;
+    };
+    struct Flight {
+        unsigned from = 0;
+        Envelope envelope;
+    };
+
+    void start(unsigned entry);
+    void publish();
+    void collect(unsigned entry);
+
+    std::vector<Entry> m_entries;
+    std::map<NodeId, unsigned> m_index;
+    std::multimap<TimePoint, Flight> m_flights;
+    std::multimap<TimePoint, std::pair<unsigned, bool>> m_listings;
+    std::map<RequestId, std::pair<std::uint64_t, std::uint32_t>> m_requests;
+    std::map<std::uint64_t, double> m_granted;
+    TimePoint m_now;
+    TimePoint m_nextTick{};
+    RequestId m_nextRequest = 1;
+    unsigned m_refused = 0;
+    std::uint64_t m_messages = 0;
+    bool m_cut = false;
+};
+
+} // namespace fulmarlink::testing
--- a/testing/harness/world.cpp
+++ b/testing/harness/world.cpp
@@ -391,6 +391,10 @@
                        [&](const OpenLinkAction &opening) {
                            openLink(entry, opening.node);
                        },
+                       [&](const LimitAction &limiting) {
+                           entry.core->limitDecided(m_now, limiting.request, true, Duration(0));
+                           performEntry(entry);
+                       },
                        [&](const DeliverAction &delivering) {
                            deliverAnswer(entry, delivering);
                        },
--- a/testing/processes.sh
+++ b/testing/processes.sh
@@ -25,6 +25,9 @@
   - name: notes
     when: {path_prefix: /v1/generate/note}
     then: {route: pool, idempotent: false}
+  - name: limited
+    when: {customer: hog}
+    then: {route: pool, idempotent: true, limit: {tokens_per_second: 1, burst: 1}}
   - name: rest
     when: {}
     then: {route: pool, idempotent: true}
@@ -83,6 +86,10 @@
 ask /v1/generate/note s2 5 $'Idempotency-Key: k1\r\n' >"$work/second"
 grep -q 'data: s2 4' "$work/first" && grep -q 'data: s2 4' "$work/second" || die "a repeated note has no answer"
 
+# A customer's limit of one token a second: of three requests at once at least one is told to come back.
+for i in 1 2 3; do ask /v1/generate/x l$i 1 $'X-Customer: hog\r\n' >>"$work/limited"; done
+grep -q 'Fulmarlink-Result: 109 customer-limit' "$work/limited" && grep -qi '^Retry-After:' "$work/limited" || die "the limit is not enforced"
+
 # Two operators race: the second is refused with exit code 3.
 sed 's/name: rest/name: others/' "$work/rules.yaml" >"$work/rules2.yaml"
 "$fulmarlink" ctl apply --object-api 127.0.0.1:$store --expect-version 1 "$work/rules2.yaml"
