--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -2,7 +2,8 @@
 // AgentCore and the pickers, around them an event loop and engines that are no more
 // than a number of slots and a service time.
 //
-// fleet_bench [--small] [--large] [--traps] [--seeds N]; without arguments all of it.
+// fleet_bench [--small] [--large] [--traps] [--seeds N] [--load SHARE]...; without
+// arguments all of it, which takes about twenty minutes at the full size.
 
 #include <algorithm>
 #include <cmath>
@@ -13,6 +14,7 @@
 #include <map>
 #include <numeric>
 #include <queue>
+#include <span>
 
 #include "fulmarlink/agentcore.h"
 #include "fulmarlink/counters.h"
@@ -535,9 +537,9 @@
     return sum;
 }
 
-void printPickers(unsigned entries, unsigned runners, Duration time, unsigned seeds)
+void printPickers(unsigned entries, unsigned runners, Duration time, unsigned seeds, std::span<const double> loads)
 {
-    for (const double load : {0.5, 0.8, 0.95, 1.2}) {
+    for (const double load : loads) {
         std::cout << "\n"
                   << entries << " entries, " << runners << " runners, " << std::fixed << std::setprecision(0) << load * 100 << "% of capacity, seeds 1 to "
                   << seeds << "\n";
@@ -592,23 +594,30 @@
     bool large = false;
     bool traps = false;
     unsigned seeds = 5;
+    std::vector<double> loads;
     for (int i = 1; i < argc; ++i) {
         small = small || std::strcmp(argv[i], "--small") == 0;
         large = large || std::strcmp(argv[i], "--large") == 0;
         traps = traps || std::strcmp(argv[i], "--traps") == 0;
+        if (std::strcmp(argv[i], "--load") == 0 && i + 1 < argc) {
+            loads.push_back(std::strtod(argv[i + 1], nullptr));
+        }
         if (std::strcmp(argv[i], "--seeds") == 0 && i + 1 < argc) {
             seeds = static_cast<unsigned>(std::strtoul(argv[i + 1], nullptr, 10));
         }
     }
+    if (loads.empty()) {
+        loads = {0.5, 0.8, 0.95, 1.2};
+    }
     const bool all = !small && !large && !traps;
     if (small || all) {
-        printPickers(4, 16, 20s, seeds);
+        printPickers(4, 16, 20s, seeds, loads);
     }
     if (traps || all) {
         printTraps(seeds);
     }
     if (large || all) {
-        printPickers(370, 600, 10s, std::min(seeds, 5U));
+        printPickers(370, 600, 10s, std::min(seeds, 5U), loads);
     }
     return 0;
 }
--- a/fulmarlink/route.h
+++ b/fulmarlink/route.h
@@ -25,7 +25,7 @@
     bool idempotent = false;
     std::optional<Duration> deadline; ///< the caller's own deadline is cut down to it
     std::optional<TokenLimit> limit;
-    unsigned maxAttempts = 3; ///< dispatches of one request, the first included
+    unsigned maxAttempts = 5; ///< dispatches of one request, the first included
     bool preferLocalZone = true;
 };
 
