--- a/fulmarlink/keyledger.cpp
+++ b/fulmarlink/keyledger.cpp
@@ -11,7 +11,6 @@
 #include "fulmarlink/keyledger.h"
 
 #include <algorithm>
-#include <set>
 
 #include "fulmarlink/mutation.h"
 
@@ -85,15 +84,18 @@
         return hashOf(name);
     });
     m_homes.resize(std::min<std::size_t>(m_homes.size(), m_options.homes));
-    std::set<NodeId> listed;
+    m_listedIds.clear();
     for (const std::string &name : m_listed) {
-        listed.insert(nodeId(name));
+        m_listedIds.insert(nodeId(name));
+        m_unseenSince.erase(name);
     }
+    m_seen.insert(m_listedIds.begin(), m_listedIds.end());
     for (Slot &slot : m_slots) {
         for (auto &item : slot.records) {
             // The holder of a permit is gone and never said where it went: nobody will ever know.
             Record &record = item.second;
-            if (record.state == KeyState::Granted && !listed.contains(record.holder.entry())) {
+            const NodeId holder = record.holder.entry();
+            if (record.state == KeyState::Granted && m_seen.contains(holder) && !m_listedIds.contains(holder)) {
                 record.state = KeyState::Unknown;
                 record.touched = now;
             }
@@ -364,8 +366,18 @@
     slot.nextIncarnation = done.incarnation;
 }
 
+/** An owner that this node's list has never had may be newer than the list: it is only gone if it stays missing. */
+bool KeyLedger::gone(TimePoint now, const std::string &owner)
+{
+    const NodeId id = nodeId(owner);
+    if (m_listedIds.contains(id)) {
+        return false;
+    }
+    return m_seen.contains(id) || now >= m_unseenSince.try_emplace(owner, now).first->second + m_options.listSettle;
+}
+
 /** True if this node must change @p owner, which then holds the new value. */
-bool KeyLedger::planSlot(std::uint32_t index, SlotOwner &owner) const
+bool KeyLedger::planSlot(TimePoint now, std::uint32_t index, SlotOwner &owner)
 {
     const Slot &slot = m_slots[index];
     if (owns(index)) {
@@ -379,15 +391,14 @@
         return false;
     }
     const bool former = owner.name == m_options.self;
-    const bool lost = !owner.name.empty() && std::ranges::find(m_listed, owner.name) == m_listed.end();
-    if (!former && (wantedOwner(index) != m_options.self || !(owner.name.empty() || lost))) {
+    if (!former && (wantedOwner(index) != m_options.self || !(owner.name.empty() || gone(now, owner.name)))) {
         return false;
     }
     owner = {m_options.self, m_options.incarnation, owner.term + 1, owner.name.empty()};
     return true;
 }
 
-std::optional<SlotTableUpdate> KeyLedger::takeUpdate(TimePoint /*now*/)
+std::optional<SlotTableUpdate> KeyLedger::takeUpdate(TimePoint now)
 {
     if (m_updating || m_tableStale || m_listed.empty()) {
         return std::nullopt;
@@ -395,7 +406,7 @@
     SlotTable next = m_table;
     bool changed = false;
     for (std::uint32_t i = 0; i < SlotTable::kSlots; ++i) {
-        changed = planSlot(i, next.owners[i]) || changed;
+        changed = planSlot(now, i, next.owners[i]) || changed;
     }
     if (!changed) {
         return std::nullopt;
--- a/fulmarlink/keyledger.h
+++ b/fulmarlink/keyledger.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -31,6 +32,7 @@
     Duration retention = std::chrono::hours(1); ///< how long a key is remembered after it was last touched
     std::size_t maxKeys = 200'000; ///< hard limit on memory, about 200 bytes each
     unsigned homes = 16; ///< entries that are homes, chosen by rendezvous hash
+    Duration listSettle = std::chrono::seconds(30); ///< how late the host list may be in showing a new entry
     Duration handoverTimeout = std::chrono::seconds(2);
     Duration drainLimit = std::chrono::seconds(10); ///< a leaving entry waits no longer for its successors
     Duration handoverBackoff = std::chrono::seconds(30); ///< after one that was refused or not answered
@@ -56,8 +58,9 @@
  *   the key is remembered.
  * - A slot leaves a living owner only by the owner's own update, after the next owner
  *   has confirmed that it holds the slot's whole memory.
- * - A slot whose owner was dropped from the host list, or was restarted, is taken over
- *   without memory: for the retention time its unknown keys are refused with
+ * - A slot whose owner was dropped from the host list (had been in it; or is still missing
+ *   listSettle after the table first named it), or was restarted, is taken over without
+ *   memory: for the retention time its unknown keys are refused with
  *   KeyHistoryLost.
  * - Memory is bounded by maxKeys; at the bound new keys are refused, none is forgotten.
  * Not thread-safe; its owner holds a lock.
@@ -128,7 +131,8 @@
     void sendHandover(TimePoint now, std::uint32_t slot);
     void giveUpHandover(TimePoint now, Slot &slot);
     void answerHandover(NodeId to, const wire::SlotHandoverT &handover, std::uint64_t incarnation);
-    bool planSlot(std::uint32_t slot, SlotOwner &owner) const;
+    bool planSlot(TimePoint now, std::uint32_t slot, SlotOwner &owner);
+    bool gone(TimePoint now, const std::string &owner);
     void expire(TimePoint now);
 
     KeyLedgerOptions m_options;
@@ -138,6 +142,9 @@
     std::vector<Slot> m_slots;
     std::vector<std::string> m_entries;
     std::vector<std::string> m_listed;
+    std::set<NodeId> m_listedIds;
+    std::set<NodeId> m_seen; ///< entries that this node's list has had
+    std::map<std::string, TimePoint> m_unseenSince; ///< owners of slots that it has not had yet
     std::vector<std::string> m_homes;
     std::vector<Envelope> m_messages;
     std::size_t m_keys = 0;
--- a/testing/harness/world.cpp
+++ b/testing/harness/world.cpp
@@ -1156,6 +1156,12 @@
     return find(name)->counters->result(code);
 }
 
+std::uint64_t World::lostTakeovers(const std::string &name) const
+{
+    Counters &counters = *find(name)->counters;
+    return counters.value(counters.registerCounter("fulmarlink_key_slots_taken_over_total{memory=\"lost\"}"));
+}
+
 const std::vector<std::string> &World::violations() const
 {
     return m_violations;
--- a/testing/harness/world.h
+++ b/testing/harness/world.h
@@ -110,6 +110,8 @@
     bool alive(const std::string &node) const;
     bool drained(const std::string &node) const;
     std::uint64_t counter(const std::string &node, ResultCode code) const;
+    /** Key slots that the entry took over without memory. */
+    std::uint64_t lostTakeovers(const std::string &entry) const;
     /** Checks what can only be said at the end; call after all deadlines. */
     void checkEnd();
     const std::vector<std::string> &violations() const;
