Planner: a whole new placement where it is worth clearly more than single changes

Cause: at 64 ranks single changes get stuck while every rank's few slots are full of replicas. Change: the packed placement on the forecast is one more candidate, at its price.

--- a/fulmarlink/mapplanners.cpp
+++ b/fulmarlink/mapplanners.cpp
@@ -6,7 +6,8 @@
 // priced: the product's own. For each layer it improves the current map by single
 // changes on the forecast, as long as the busiest rank gets relief, and remembers the
 // net worth after each: step time saved over the horizon, less the price of the copies.
-// It keeps the prefix with the highest worth, none if that is not positive. What the
+// It keeps the prefix with the highest worth, none if that is not positive, or a whole new
+// placement if that is worth clearly more. What the
 // forecast can't see (its own recent error) is taken off the saving first, so noise
 // moves nothing. With an old forecast it leaves the layer alone.
 
@@ -28,6 +29,7 @@
 constexpr double kSwapThreshold = 1.2;
 constexpr unsigned kMaxChangesPerRank = 2; ///< bounds the search: changes a layer, times ranks
 constexpr double kBlindShare = 0.8; ///< of a rank's noise that a gain must be above
+constexpr double kRepackMargin = 1.1; ///< a new placement must be worth so much more than single changes
 constexpr unsigned kMaxFruitless = 6; ///< changes in a row that don't raise the worth
 
 /** Experts by replica, the heaviest replica first. */
@@ -221,6 +223,15 @@
                 fruitless = 0;
             }
         }
+        // A whole new placement is dear and seldom worth it; single changes get stuck where it would not.
+        const LayerMap packed = packGreedily(layer.current, layer.forecast.next());
+        const unsigned packedCopies = copiesBetween(layer.current, packed);
+        const double packedGain = before - imbalance(packed, layer.forecast.next()) - blind;
+        const double packedWorth = packedGain * secondsPerUnit * weights.skewWeight - packedCopies * secondsPerCopy * weights.costWeight;
+        if (packedWorth > kRepackMargin * bestWorth && packedWorth > 0 && packedCopies * weights.expertBytes <= bytesLeft) {
+            best = packed;
+            bestCopies = packedCopies;
+        }
         bytesLeft -= bestCopies * weights.expertBytes;
         return best;
     }
