--- a/bench/planner_bench.cpp
+++ b/bench/planner_bench.cpp
@@ -203,7 +203,7 @@
     skew.weights.skewWeight = 20;
     const Row tawe = print("priced, Tawe", "priced", skew);
     Setup cost = base;
-    cost.weights.costWeight = 4;
+    cost.weights.costWeight = 2;
     const Row conciliar = print("priced, Conciliar", "priced", cost);
     std::cout << std::setprecision(2) << "  Tawe: excess " << (tawe.mean - 1) / (bound.mean - 1) << "x the bound's, " << (tawe.mean - 1) / (swap.mean - 1)
               << "x threshold_swap's. Conciliar: " << conciliar.copies / greedy.copies << "x the bytes of full_greedy, excess "
