--- a/fulmarlink/entryprocess.h
+++ b/fulmarlink/entryprocess.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <unordered_map>
@@ -79,8 +80,7 @@
     void send(NodeId to, const Message &message);
     void receive(NodeId from, const Message &message);
     /** Calls @p event with the limiter under its lock, then carries out what it decides. */
-    template<typename Event>
-    void limit(Event event);
+    void limit(const std::function<void(TimePoint)> &event);
     void spread(const Message &message, NodeId from);
     void flushSpread();
     void offerDocument(const std::string &name, std::uint64_t version, const std::string &text);
