Sanitizer runs where they say something; links no longer hold their hub for ever

Cause: under AddressSanitizer and load the demo ended with leaks: a LinkHub held its links, which hold the hub, when the process stopped before their close ran. Change: close() lets the links go.

--- a/fulmarlink/linkhub.cpp
+++ b/fulmarlink/linkhub.cpp
@@ -208,8 +208,9 @@
         const std::lock_guard lock(m_mutex);
         m_closed = true;
         for (auto &[node, peer] : m_peers) {
-            links.push_back(peer.outgoing);
-            links.push_back(peer.incoming);
+            // Links hold the hub: it must not hold them, or neither is ever freed.
+            links.push_back(std::exchange(peer.outgoing, nullptr));
+            links.push_back(std::exchange(peer.incoming, nullptr));
         }
         for (const auto &weak : m_accepted) {
             links.push_back(weak.lock());
--- a/testing/fuzz_test.cpp
+++ b/testing/fuzz_test.cpp
@@ -234,6 +234,12 @@
     const char *name;
 };
 
+/** Names the case in the list of tests. */
+std::ostream &operator<<(std::ostream &out, const MutationCase &testCase)
+{
+    return out << testCase.name;
+}
+
 class FuzzMutation : public ::testing::TestWithParam<MutationCase>
 {
 };
@@ -283,7 +289,8 @@
 
 TEST(Fuzz, UnmutatedSequencesHold)
 {
-    for (std::uint64_t seed = 1; seed <= kMutationSequences; ++seed) {
+    const unsigned long sequences = numberFrom("FULMARLINK_MUTATION_CASES", kMutationSequences);
+    for (std::uint64_t seed = 1; seed <= sequences; ++seed) {
         const auto violations = playSequence(seed);
         ASSERT_TRUE(violations.empty()) << "sequence " << seed << ": " << violations.front();
     }
--- a/testing/mapswitch_test.cpp
+++ b/testing/mapswitch_test.cpp
@@ -18,6 +18,12 @@
     ExplorerOptions options;
 };
 
+/** Names the case in the list of tests. */
+std::ostream &operator<<(std::ostream &out, const ExploreCase &testCase)
+{
+    return out << testCase.name;
+}
+
 ExplorerOptions faults(std::uint32_t ranks, unsigned losses, unsigned duplicates, unsigned agents, unsigned engines, unsigned coordinators)
 {
     ExplorerOptions options;
@@ -88,6 +94,12 @@
     Mutation mutation;
 };
 
+/** Names the case in the list of tests. */
+std::ostream &operator<<(std::ostream &out, const MutationCase &testCase)
+{
+    return out << testCase.name;
+}
+
 class MapSwitchMutation : public ::testing::TestWithParam<MutationCase>
 {
 };
