--- a/fulmarlink/entryserver.cpp
+++ b/fulmarlink/entryserver.cpp
@@ -156,10 +156,26 @@
     stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
 }
 
+/** Reads what is still missing of a request. */
+asio::awaitable<void> EntryServer::readRest(Stream &stream, beast::flat_buffer &buffer, RequestParser &parser, boost::system::error_code &error)
+{
+    if (!error && !parser.is_header_done()) {
+        co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (!error && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        http::response<http::empty_body> proceed(http::status::continue_, kHttp11);
+        co_await http::async_write(stream, proceed, asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (!error && !parser.is_done()) {
+        co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
 asio::awaitable<bool> EntryServer::readRequest(Stream &stream, beast::flat_buffer &buffer, HttpRequest &request, bool &close)
 {
+    using namespace boost::asio::experimental::awaitable_operators;
     boost::system::error_code error;
-    http::request_parser<http::string_body> parser;
+    RequestParser parser;
     parser.header_limit(static_cast<std::uint32_t>(m_settings.maxHeaderBytes));
     parser.body_limit(m_settings.maxBodyBytes);
     stream.expires_after(m_settings.idleTimeout);
@@ -168,16 +184,12 @@
         close = true;
         co_return false;
     }
-    stream.expires_after(m_settings.readTimeout);
-    if (!error && !parser.is_header_done()) {
-        co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-    }
-    if (!error && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-        http::response<http::empty_body> proceed(http::status::continue_, kHttp11);
-        co_await http::async_write(stream, proceed, asio::redirect_error(asio::use_awaitable, error));
-    }
-    if (!error && !parser.is_done()) {
-        co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    // A timer beside the read, for the stream's own timeout closes the connection and nobody could be told.
+    stream.expires_never();
+    asio::steady_timer timer(stream.get_executor(), m_settings.readTimeout);
+    const auto first = co_await (readRest(stream, buffer, parser, error) || timer.async_wait(asio::use_awaitable));
+    if (first.index() == 1) {
+        error = beast::error::timeout;
     }
     if (!error && parser.get().version() != kHttp11) {
         error = http::error::bad_version;
--- a/fulmarlink/entryserver.h
+++ b/fulmarlink/entryserver.h
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <memory>
 #include <string>
 
@@ -50,11 +51,13 @@
 
 private:
     using Stream = boost::beast::tcp_stream;
+    using RequestParser = boost::beast::http::request_parser<boost::beast::http::string_body>;
     struct Exchange;
 
     boost::asio::awaitable<void> acceptLoop();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<bool> serveOne(Stream &stream, boost::beast::flat_buffer &buffer);
+    boost::asio::awaitable<void> readRest(Stream &stream, boost::beast::flat_buffer &buffer, RequestParser &parser, boost::system::error_code &error);
     boost::asio::awaitable<bool> readRequest(Stream &stream, boost::beast::flat_buffer &buffer, HttpRequest &request, bool &close);
     boost::asio::awaitable<void> relay(Exchange &exchange);
     boost::asio::awaitable<bool> writeHead(Exchange &exchange, const struct DeliverAction &action);
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -94,6 +94,7 @@
     m_enginePorts.push_back(port);
     const std::string text = "host: " + name + "\nzone: " + zone + "\n" + target("links", 0) + "agent:\n  pool: " + pool + "\n  " + target("runner", port)
                              + "  concurrency: " + std::to_string(options.batch) + "\n  refusal_statuses: [503]\n";
+    m_agentSettings.push_back(text);
     m_agents.push_back(
         std::make_unique<AgentProcess>(m_options.agentContext != nullptr ? *m_options.agentContext : m_context, parseSettings(text), m_incarnation++));
     m_agents.back()->start();
@@ -106,7 +107,7 @@
     const std::string zone = m_options.zones[index % m_options.zones.size()];
     const std::string text = "host: " + name + "\nzone: " + zone + "\n" + target("links", 0) + target("admin", 0) + "platform:\n  "
                              + target("object_api", m_storePort) + "  " + target("host_list", m_storePort) + "  host_list_interval_ms: 200\nentry:\n  "
-                             + target("listen", 0) + "  runners: {picker: " + m_options.picker + "}\n";
+                             + target("listen", 0) + "  runners: {picker: " + m_options.picker + "}\n" + m_options.entrySettings;
     m_entries.push_back(
         std::make_unique<EntryProcess>(m_options.entryContext != nullptr ? *m_options.entryContext : m_context, parseSettings(text), m_incarnation++));
     m_entries.back()->start();
@@ -158,6 +159,17 @@
     publishHosts();
 }
 
+void Fleet::restartAgent(std::size_t index)
+{
+    m_agents[index]->stop();
+    m_stopped.push_back(std::move(m_agents[index]));
+    boost::asio::io_context &context = m_options.agentContext != nullptr ? *m_options.agentContext : m_context;
+    m_agents[index] = std::make_unique<AgentProcess>(context, parseSettings(m_agentSettings[index]), m_incarnation++);
+    m_agents[index]->start();
+    m_agentHosts[index].port = m_agents[index]->linkPort();
+    publishHosts();
+}
+
 void Fleet::stop()
 {
     for (const auto &entry : m_entries) {
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -22,6 +22,7 @@
     unsigned serviceRunners = 3;
     std::string rules; ///< empty: defaultRules()
     std::string picker = "affinity";
+    std::string entrySettings; ///< more lines for the part 'entry', each with two spaces before it
     std::chrono::microseconds engineStep{2000}; ///< between tokens
     boost::asio::io_context *entryContext = nullptr; ///< where the entries run; null: with all else
     boost::asio::io_context *agentContext = nullptr; ///< where the agents run; null: with all else
@@ -43,6 +44,8 @@
     /** The engine and the agent of one runner die at once; the host list follows later by dropRunner(). */
     void killRunner(std::size_t index);
     void dropRunner(std::size_t index);
+    /** A new incarnation of an agent beside its running engine, at another port. */
+    void restartAgent(std::size_t index);
     void stop();
 
     ObjectApi &objectApi();
@@ -68,6 +71,8 @@
     std::vector<std::unique_ptr<AgentProcess>> m_agents;
     std::vector<std::shared_ptr<Engine>> m_engines;
     std::vector<std::uint16_t> m_enginePorts;
+    std::vector<std::string> m_agentSettings;
+    std::vector<std::unique_ptr<AgentProcess>> m_stopped; ///< kept until the end: their handlers may still run
     std::vector<HostInfo> m_entryHosts;
     std::vector<HostInfo> m_agentHosts;
     std::vector<bool> m_dropped;
