--- a/fulmarlink/entrydocuments.cpp
+++ b/fulmarlink/entrydocuments.cpp
@@ -175,6 +175,7 @@
     }
     m_directory.setHosts(now, hosts);
     std::vector<NodeId> homes;
+    homes.reserve(live.size());
     for (const std::string &name : live) {
         homes.push_back(nodeId(name));
     }
