The host list is not sent again while it has not changed

Change: an entry names the list it has by its entity tag; the stand-in answers 304. A list that ignores the tag is read as before.

--- a/fulmarlink/entrydocuments.cpp
+++ b/fulmarlink/entrydocuments.cpp
@@ -137,10 +137,16 @@
 void EntryProcess::pollHosts()
 {
     HttpRequest request(http::verb::get, "/v1/hosts", kHttp11);
+    if (!m_hostListTag.empty()) {
+        request.set(http::field::if_none_match, m_hostListTag); // an unchanged list is not sent again
+    }
     asio::co_spawn(
         m_context, httpCall(m_settings.hostList, std::move(request), kHostListTimeout), [this](const std::exception_ptr &failure, const HttpResult &result) {
             std::vector<HostInfo> hosts;
             if (!failure && !result.error && result.response.result() == http::status::ok && !parseHostList(result.response.body(), hosts)) {
+                const auto tag = result.response[http::field::etag];
+                m_hostListTag.assign(tag.data(), tag.size());
+                m_counters.add(m_hostListsRead);
                 setHosts(std::move(hosts));
             }
             if (m_stopped) {
--- a/fulmarlink/entryprocess.cpp
+++ b/fulmarlink/entryprocess.cpp
@@ -67,6 +67,7 @@
     , m_requestsTotal(m_counters.registerCounter("fulmarlink_requests_total"))
     , m_requestsNow(m_counters.registerCounter("fulmarlink_requests_in_progress"))
     , m_rulesVersionGauge(m_counters.registerCounter("fulmarlink_rules_version"))
+    , m_hostListsRead(m_counters.registerCounter("fulmarlink_host_lists_read_total"))
     , m_store(context.get_executor(), m_settings.objectApi, m_counters)
     , m_directory(m_settings.entry->directory, mixHash(m_self, incarnation))
     , m_budget(m_settings.entry->retryShare)
--- a/fulmarlink/entryprocess.h
+++ b/fulmarlink/entryprocess.h
@@ -103,6 +103,7 @@
     Counters::Id m_requestsTotal;
     Counters::Id m_requestsNow;
     Counters::Id m_rulesVersionGauge;
+    Counters::Id m_hostListsRead;
     HttpObjectStore m_store;
     RunnerDirectory m_directory;
     RetryBudget m_budget;
@@ -125,6 +126,7 @@
     std::atomic<bool> m_draining = false;
     std::atomic<bool> m_stopped = false;
     std::atomic<std::int64_t> m_confirmedAt = 0; ///< microseconds on m_clock when the rules were last confirmed
+    std::string m_hostListTag; ///< of the list in use; only one read is under way at a time
     std::uint16_t m_callerPort = 0;
     std::uint16_t m_linkPort = 0;
     std::uint16_t m_adminPort = 0;
--- a/standins/objectapi.cpp
+++ b/standins/objectapi.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 
 #include "fulmarlink/hostlist.h"
+#include "fulmarlink/nodeid.h"
 
 namespace fulmarlink::standins
 {
@@ -56,8 +57,7 @@
 {
     const std::string target(request.target().data(), request.target().size());
     if (target == kHosts) {
-        const std::lock_guard lock(m_mutex);
-        co_return textResponse(200, serializeHostList(m_hosts), "application/json");
+        co_return hostList(request);
     }
     std::chrono::milliseconds delay{0};
     bool down = false;
@@ -88,6 +88,16 @@
     co_return co_await read(key, std::move(query));
 }
 
+HttpResponse ObjectApi::hostList(const HttpRequest &request) const
+{
+    const std::lock_guard lock(m_mutex);
+    const std::string text = serializeHostList(m_hosts);
+    const std::string tag = '"' + std::to_string(hashOf(text)) + '"';
+    HttpResponse response = request[http::field::if_none_match] == tag ? textResponse(304, {}) : textResponse(200, text, "application/json");
+    response.set(http::field::etag, tag);
+    return response;
+}
+
 asio::awaitable<HttpResponse> ObjectApi::read(std::string key, std::string query)
 {
     const std::uint64_t above = numberAfter(query, "above=");
--- a/standins/objectapi.h
+++ b/standins/objectapi.h
@@ -40,6 +40,8 @@
 private:
     boost::asio::awaitable<HttpResponse> handle(HttpRequest request);
     boost::asio::awaitable<HttpResponse> read(std::string key, std::string query);
+    /** The host list, with an entity tag; 304 to a caller that has it. */
+    HttpResponse hostList(const HttpRequest &request) const;
     HttpResponse write(const std::string &key, const HttpRequest &request);
     HttpResponse answer(const StoredObject &object, bool withText) const;
 
