One wrapper for the map machines, copies defaulted

Cause: MapRank and MapCoordinator each had the same MSM wrapper and copied themselves member by member, where a new member is easily forgotten. Change: PhaseMachine and Cloned.

--- a/fulmarlink/mapcoordinator.cpp
+++ b/fulmarlink/mapcoordinator.cpp
@@ -9,11 +9,11 @@
 
 #include <algorithm>
 #include <boost/mpl/vector/vector20.hpp>
-#include <boost/msm/back/state_machine.hpp>
 #include <boost/msm/front/functor_row.hpp>
 #include <boost/msm/front/state_machine_def.hpp>
 
 #include "fulmarlink/mutation.h"
+#include "fulmarlink/phasemachine.h"
 
 namespace fulmarlink
 {
@@ -85,27 +85,8 @@
 
 } // namespace
 
-class MapCoordinator::Machine
+class MapCoordinator::Machine final : public PhaseMachine<Definition, CoordinatorPhase>
 {
-public:
-    Machine()
-    {
-        m_backend.start();
-    }
-
-    template<class Event>
-    void process(const Event &event)
-    {
-        m_backend.process_event(event);
-    }
-
-    CoordinatorPhase phase() const
-    {
-        return static_cast<CoordinatorPhase>(m_backend.current_state()[0]);
-    }
-
-private:
-    msm::back::state_machine<Definition> m_backend;
 };
 
 MapCoordinator::MapCoordinator(CoordinatorOptions options)
@@ -119,41 +100,8 @@
 
 MapCoordinator::~MapCoordinator() = default;
 
-MapCoordinator::MapCoordinator(const MapCoordinator &other)
-    : m_options(other.m_options)
-    , m_machine(std::make_unique<Machine>(*other.m_machine))
-    , m_version(other.m_version)
-    , m_attempt(other.m_attempt)
-    , m_step(other.m_step)
-    , m_slowest(other.m_slowest)
-    , m_assignment(other.m_assignment)
-    , m_answered(other.m_answered)
-    , m_told(other.m_told)
-    , m_lastSend(other.m_lastSend)
-    , m_forming(other.m_forming)
-    , m_messages(other.m_messages)
-{
-}
-
-MapCoordinator &MapCoordinator::operator=(const MapCoordinator &other)
-{
-    if (this != &other) {
-        MapCoordinator copy(other);
-        std::swap(m_options, copy.m_options);
-        std::swap(m_machine, copy.m_machine);
-        std::swap(m_version, copy.m_version);
-        std::swap(m_attempt, copy.m_attempt);
-        std::swap(m_step, copy.m_step);
-        std::swap(m_slowest, copy.m_slowest);
-        std::swap(m_assignment, copy.m_assignment);
-        std::swap(m_answered, copy.m_answered);
-        std::swap(m_told, copy.m_told);
-        std::swap(m_lastSend, copy.m_lastSend);
-        std::swap(m_forming, copy.m_forming);
-        std::swap(m_messages, copy.m_messages);
-    }
-    return *this;
-}
+MapCoordinator::MapCoordinator(const MapCoordinator &other) = default;
+MapCoordinator &MapCoordinator::operator=(const MapCoordinator &other) = default;
 
 MapVersion MapCoordinator::start(TimePoint now, std::vector<std::uint16_t> assignment)
 {
--- a/fulmarlink/mapcoordinator.h
+++ b/fulmarlink/mapcoordinator.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "fulmarlink/clock.h"
+#include "fulmarlink/cloned.h"
 #include "fulmarlink/maprank.h"
 
 namespace fulmarlink
@@ -77,7 +78,7 @@
     bool allAnswered() const;
 
     CoordinatorOptions m_options;
-    std::unique_ptr<Machine> m_machine;
+    Cloned<Machine> m_machine;
     MapVersion m_version = 0;
     MapVersion m_attempt = 0;
     std::uint64_t m_step = 0;
--- a/fulmarlink/maprank.cpp
+++ b/fulmarlink/maprank.cpp
@@ -20,11 +20,11 @@
 #include <algorithm>
 #include <array>
 #include <boost/mpl/vector/vector20.hpp>
-#include <boost/msm/back/state_machine.hpp>
 #include <boost/msm/front/functor_row.hpp>
 #include <boost/msm/front/state_machine_def.hpp>
 
 #include "fulmarlink/mutation.h"
+#include "fulmarlink/phasemachine.h"
 
 namespace fulmarlink
 {
@@ -82,27 +82,8 @@
 
 } // namespace
 
-class MapRank::Machine
+class MapRank::Machine final : public PhaseMachine<Definition, RankPhase>
 {
-public:
-    Machine()
-    {
-        m_backend.start();
-    }
-
-    template<class Event>
-    void process(const Event &event)
-    {
-        m_backend.process_event(event);
-    }
-
-    RankPhase phase() const
-    {
-        return static_cast<RankPhase>(m_backend.current_state()[0]);
-    }
-
-private:
-    msm::back::state_machine<Definition> m_backend;
 };
 
 MapRank::MapRank(RankOptions options, const RankEngineState &engine)
@@ -120,37 +101,8 @@
 
 MapRank::~MapRank() = default;
 
-MapRank::MapRank(const MapRank &other)
-    : m_options(other.m_options)
-    , m_engine(other.m_engine)
-    , m_machine(std::make_unique<Machine>(*other.m_machine))
-    , m_staged(other.m_staged)
-    , m_vetoed(other.m_vetoed)
-    , m_armedPeers(other.m_armedPeers)
-    , m_holdingSince(other.m_holdingSince)
-    , m_lastAsk(other.m_lastAsk)
-    , m_holding(other.m_holding)
-    , m_messages(other.m_messages)
-{
-}
-
-MapRank &MapRank::operator=(const MapRank &other)
-{
-    if (this != &other) {
-        MapRank copy(other);
-        std::swap(m_options, copy.m_options);
-        std::swap(m_engine, copy.m_engine);
-        std::swap(m_machine, copy.m_machine);
-        std::swap(m_staged, copy.m_staged);
-        std::swap(m_vetoed, copy.m_vetoed);
-        std::swap(m_armedPeers, copy.m_armedPeers);
-        std::swap(m_holdingSince, copy.m_holdingSince);
-        std::swap(m_lastAsk, copy.m_lastAsk);
-        std::swap(m_holding, copy.m_holding);
-        std::swap(m_messages, copy.m_messages);
-    }
-    return *this;
-}
+MapRank::MapRank(const MapRank &other) = default;
+MapRank &MapRank::operator=(const MapRank &other) = default;
 
 std::optional<MapVersion> MapRank::mapFor(TimePoint now)
 {
--- a/fulmarlink/maprank.h
+++ b/fulmarlink/maprank.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "fulmarlink/clock.h"
+#include "fulmarlink/cloned.h"
 #include "fulmarlink/message.h"
 
 namespace fulmarlink
@@ -103,7 +104,7 @@
 
     RankOptions m_options;
     RankEngineState m_engine;
-    std::unique_ptr<Machine> m_machine;
+    Cloned<Machine> m_machine;
     MapVersion m_staged = 0;
     MapVersion m_vetoed = 0; ///< this agent will never arm a version up to here
     std::vector<bool> m_armedPeers;
