--- a/app/commands.h
+++ b/app/commands.h
@@ -7,6 +7,7 @@
 
 /** The program's commands. Each takes its own arguments, argv[0] being the command's name. */
 ExitCode runEntry(int argc, const char **argv);
+ExitCode runGateway(int argc, const char **argv);
 ExitCode runAgent(int argc, const char **argv);
 ExitCode runCheck(int argc, const char **argv);
 ExitCode runExplain(int argc, const char **argv);
--- a/app/main.cpp
+++ b/app/main.cpp
@@ -23,6 +23,7 @@
 constexpr auto kCommands = std::to_array<Command>({
     {"entry", runEntry, "run an entry host's process"},
     {"agent", runAgent, "run a target host's process, beside one runner"},
+    {"gateway", runGateway, "run an entry host's process that calls runners directly"},
     {"check", runCheck, "validate settings and rule files"},
     {"explain", runExplain, "say which rule takes a request, and why"},
     {"ctl", runCtl, "show, compare, apply and watch the configuration"},
--- /dev/null
+++ b/fulmarlink/attemptpolicy.cpp
@@ -0,0 +1,39 @@
+#include "fulmarlink/attemptpolicy.h"
+
+namespace fulmarlink
+{
+
+namespace
+{
+
+bool mayRunAgain(const AttemptState &state)
+{
+    if (state.ran == 0) {
+        return !state.answerBegun;
+    }
+    if (state.ran >= state.maxAttempts) {
+        return false;
+    }
+    return state.answerBegun ? state.resumable : state.repeatable;
+}
+
+} // namespace
+
+NextStep giveUp(const AttemptState &state)
+{
+    if (state.ran == 0 && !state.answerBegun) {
+        return NextStep::RefuseNotRun;
+    }
+    return state.end == AttemptEnd::Failed && !state.answerBegun ? NextStep::PassFailure : NextStep::Unknown;
+}
+
+NextStep nextStep(const AttemptState &state)
+{
+    if (state.end == AttemptEnd::Answered) {
+        return NextStep::Deliver;
+    }
+    const bool again = mayRunAgain(state) && state.sends < kMaxSends && state.timeLeft;
+    return again ? NextStep::Again : giveUp(state);
+}
+
+} // namespace fulmarlink
--- /dev/null
+++ b/fulmarlink/gateway.cpp
@@ -0,0 +1,250 @@
+#include "fulmarlink/gateway.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "fulmarlink/callerprotocol.h"
+#include "fulmarlink/httpserver.h"
+#include "fulmarlink/log.h"
+#include "fulmarlink/platform.h"
+#include "fulmarlink/resultcode.h"
+
+namespace fulmarlink
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/**
+ * How often the configuration is read. Every read is linearizable, so that a change is
+ * known within this and an answer's time even where watches hear nothing; two reads fit
+ * into the shortest bound on a change (2 s) with a lost one between them.
+ */
+constexpr Duration kConfigurationInterval = std::chrono::milliseconds(700);
+constexpr Duration kTargetsInterval = std::chrono::milliseconds(700); ///< for the same reason: a leaving runner gets no work after 2 s
+constexpr Duration kEntriesInterval = std::chrono::seconds(5); ///< hosts are replaced a few times an hour
+constexpr Duration kStoreRetry = std::chrono::milliseconds(250); ///< after a refusal or an outage; a fifth of the store's read rate if 100 entries do it
+constexpr Duration kHousekeeping = std::chrono::milliseconds(200);
+constexpr Duration kReadyProof
+    = std::chrono::milliseconds(2500); ///< two seconds before keyed requests must be refused the platform is asked to send callers elsewhere
+constexpr Duration kDrainLeast = std::chrono::milliseconds(2600); ///< the platform asks each second and takes a host out after two misses
+constexpr unsigned kHttpOk = 200;
+constexpr unsigned kHttpUnavailable = 503;
+constexpr unsigned kHttpNotFound = 404;
+
+std::string joined(const std::vector<std::string> &values)
+{
+    std::string result;
+    for (const std::string &value : values) {
+        result += (result.empty() ? "" : ",") + value;
+    }
+    return result;
+}
+
+} // namespace
+
+Gateway::Gateway(asio::io_context &context, GatewaySettings settings, Counters &counters, GatewayEdges edges)
+    : m_context(context)
+    , m_counters(counters)
+    , m_edges(std::move(edges))
+    , m_state(std::move(settings), m_clock, m_counters, *m_edges.protocol)
+    , m_connections(context.get_executor(), m_clock, m_counters)
+    , m_server(context.get_executor(), m_state)
+    , m_configVersion(m_counters.registerCounter("fulmarlink_rules_version"))
+    , m_proofAge(m_counters.registerCounter("fulmarlink_configuration_proof_age_ms"))
+    , m_requestsNow(m_counters.registerCounter("fulmarlink_requests_in_progress"))
+    , m_staleConfigurations(m_counters.registerCounter("fulmarlink_stale_configurations_total"))
+{
+    m_state.connections = &m_connections;
+}
+
+Gateway::~Gateway() = default;
+
+bool Gateway::ready() const
+{
+    return !m_state.draining && m_targetsKnown && m_state.config.active() && m_state.config.age(m_clock.now()) < kReadyProof;
+}
+
+void Gateway::startHttp()
+{
+    m_readiness = std::make_shared<HttpServer>(m_context.get_executor(), [this](HttpRequest) -> asio::awaitable<HttpResponse> {
+        co_return ready() ? textResponse(kHttpOk, "ready\n") : textResponse(kHttpUnavailable, "not ready\n");
+    });
+    m_readiness->listen(m_state.settings.readiness.address, m_state.settings.readiness.port);
+    if (m_state.settings.metrics.port == 0) {
+        return;
+    }
+    m_metrics = std::make_shared<HttpServer>(m_context.get_executor(), [this](HttpRequest request) -> asio::awaitable<HttpResponse> {
+        co_return request.target() == "/metrics" ? textResponse(kHttpOk, m_counters.text()) : textResponse(kHttpNotFound, "see /metrics\n");
+    });
+    m_metrics->listen(m_state.settings.metrics.address, m_state.settings.metrics.port);
+}
+
+void Gateway::start()
+{
+    startHttp();
+    m_server.listen();
+    asio::co_spawn(m_context, configurationLoop(), asio::detached);
+    asio::co_spawn(m_context, targetsLoop(), asio::detached);
+    asio::co_spawn(m_context, entriesLoop(), asio::detached);
+    asio::co_spawn(m_context, housekeeping(), asio::detached);
+    logChange("started",
+              {{"host", m_state.settings.host},
+               {"zone", m_state.settings.zone},
+               {"callers", m_state.settings.callers.address + ':' + std::to_string(m_state.settings.callers.port)},
+               {"version", FULMARLINK_VERSION}});
+}
+
+void Gateway::startDrain()
+{
+    m_state.draining = true;
+    m_drainBegan = m_clock.now();
+    logChange("draining", {{"unanswered", std::to_string(m_state.exchanges)}});
+}
+
+bool Gateway::drained() const
+{
+    return m_clock.now() - m_drainBegan >= kDrainLeast && m_state.exchanges == 0;
+}
+
+void Gateway::cutAll()
+{
+    logWarning("cut", {{"unanswered", std::to_string(m_state.exchanges)}});
+}
+
+void Gateway::stop()
+{
+    m_server.stop();
+    m_server.closeIdle();
+    flushLog();
+}
+
+void Gateway::reload(GatewaySettings settings)
+{
+    const bool addresses = settings.callers.port == m_state.settings.callers.port && settings.callers.address == m_state.settings.callers.address;
+    logChange("reloaded", {{"addresses_kept", addresses ? "true" : "false: they change at the next start"}});
+    m_state.settings = std::move(settings);
+    for (auto &[name, pool] : m_state.pools) {
+        pool.budget.setOptions(m_state.budgetOptions());
+    }
+}
+
+asio::awaitable<void> Gateway::sleep(Duration duration)
+{
+    boost::system::error_code ignored; // the timer is not cancelled
+    asio::steady_timer timer(m_context, duration);
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+Duration Gateway::jittered(Duration duration)
+{
+    return Duration(std::uniform_int_distribution<Duration::rep>(duration.count() * 3 / 4, duration.count() * 5 / 4)(m_state.random));
+}
+
+void Gateway::noteStore(bool reachable, const std::string &call, const std::string &error)
+{
+    if (reachable == m_storeReachable) {
+        return;
+    }
+    m_storeReachable = reachable;
+    const std::string age = std::to_string(m_state.config.age(m_clock.now()).count() / 1000);
+    if (reachable) {
+        logChange("store-regained", {{"call", call}, {"proof_ms", age}});
+    } else {
+        logWarning("store-lost", {{"call", call}, {"error", error}, {"proof_ms", age}});
+    }
+}
+
+asio::awaitable<void> Gateway::configurationLoop()
+{
+    for (;;) {
+        ConfigurationRead read = co_await m_edges.platform->readConfiguration();
+        noteStore(!read.error || read.error == ResultCode::ObjectNotFound, "configuration", read.error.message());
+        if (!read.error) {
+            const std::uint64_t offered = read.configuration ? read.configuration->version : m_state.config.version();
+            if (read.configuration && m_state.config.offer(std::move(*read.configuration))) {
+                const Configuration &taken = m_state.config.active()->configuration;
+                m_counters.set(m_configVersion, taken.version);
+                logChange("configuration-in-force",
+                          {{"config", std::to_string(taken.version)},
+                           {"routes", std::to_string(taken.routes.size())},
+                           {"customers", std::to_string(taken.customers.size())},
+                           {"read_ms", std::to_string((m_clock.now() - read.began).count() / 1000)}});
+            }
+            if (offered >= m_state.config.version()) {
+                m_state.config.confirm(read.began);
+            } else {
+                m_counters.add(m_staleConfigurations);
+                logWarning("configuration-older", {{"offered", std::to_string(offered)}, {"config", std::to_string(m_state.config.version())}});
+            }
+        }
+        co_await sleep(jittered(read.error ? kStoreRetry : kConfigurationInterval));
+    }
+}
+
+void Gateway::noteTargets(const TargetsRead &read)
+{
+    if (read.changed) {
+        m_listed = read.targets;
+    }
+    const TargetChanges changes = m_state.targets.setTargets(m_listed, m_clock.now());
+    m_targetsKnown = true;
+    if (changes.added.empty() && changes.leaving.empty() && changes.gone.empty()) {
+        return;
+    }
+    logChange(
+        "targets-changed",
+        {{"added", joined(changes.added)}, {"leaving", joined(changes.leaving)}, {"gone", joined(changes.gone)}, {"listed", std::to_string(m_listed.size())}});
+}
+
+asio::awaitable<void> Gateway::targetsLoop()
+{
+    for (;;) {
+        const TargetsRead read = co_await m_edges.platform->readTargets();
+        noteStore(!read.error || read.error == ResultCode::ObjectNotFound, "targets", read.error.message());
+        if (!read.error) {
+            noteTargets(read);
+        }
+        co_await sleep(jittered(read.error ? kStoreRetry : kTargetsInterval));
+    }
+}
+
+asio::awaitable<void> Gateway::entriesLoop()
+{
+    bool announced = false;
+    for (;;) {
+        if (!announced) {
+            const EntryInfo self{m_state.settings.host, m_state.settings.peers}; // named: GCC 12 destroys such a temporary twice in a coroutine
+            const std::error_code error = co_await m_edges.platform->announceEntry(self);
+            announced = !error;
+        }
+        const EntriesRead read = co_await m_edges.platform->readEntries();
+        if (!read.error) {
+            m_state.entries = std::max<unsigned>(1, static_cast<unsigned>(read.entries.size()));
+            for (auto &[name, pool] : m_state.pools) {
+                pool.budget.setOptions(m_state.budgetOptions());
+            }
+        }
+        co_await sleep(jittered(announced && !read.error ? kEntriesInterval : kEntriesInterval / 5));
+    }
+}
+
+asio::awaitable<void> Gateway::housekeeping()
+{
+    for (;;) {
+        co_await sleep(kHousekeeping);
+        m_connections.sweep(m_state.targets);
+        m_counters.set(m_requestsNow, m_state.exchanges);
+        m_counters.set(m_proofAge, static_cast<std::uint64_t>(m_state.config.age(m_clock.now()).count() / 1000));
+        if (m_state.draining && m_clock.now() - m_drainBegan >= kDrainLeast) {
+            m_server.closeIdle();
+        }
+        flushLog();
+    }
+}
+
+} // namespace fulmarlink
--- /dev/null
+++ b/fulmarlink/gatewayexchange.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "fulmarlink/attemptpolicy.h"
+#include "fulmarlink/callerprotocol.h"
+#include "fulmarlink/configstate.h"
+#include "fulmarlink/eventsplitter.h"
+#include "fulmarlink/gatewaystate.h"
+#include "fulmarlink/route.h"
+#include "fulmarlink/targetconnections.h"
+
+namespace fulmarlink
+{
+
+/**
+ * One request of a caller from its last byte to the end of its answer.
+ *
+ * Invariants: the caller gets one head and one answer; an answer that ends early is
+ * never made to look whole; after the first byte went out to a runner only the runner's
+ * own word lets the request be called not run.
+ *
+ * How to use: run() once; callerGone() at any time from the same thread.
+ */
+class GatewayExchange
+{
+public:
+    GatewayExchange(GatewayState &state, boost::beast::tcp_stream &caller, HttpRequest request, bool keepAlive);
+    ~GatewayExchange();
+    GatewayExchange(const GatewayExchange &) = delete;
+    GatewayExchange &operator=(const GatewayExchange &) = delete;
+
+    /** True if the caller's connection can take another request. */
+    boost::asio::awaitable<bool> run();
+    /** The caller has left: the runner's work is stopped, nothing more is sent. */
+    void callerGone();
+
+private:
+    using AnswerParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+    bool admit();
+    bool checkKey();
+    bool refuse(ResultCode code, Duration retryAfter = Duration(0));
+    const std::string &choosePool();
+    boost::asio::awaitable<void> serve();
+    boost::asio::awaitable<AttemptEnd> attempt(const TargetInfo &target);
+    boost::asio::awaitable<bool> write(TargetConnection &connection, const TargetInfo &target);
+    boost::asio::awaitable<AttemptEnd> readAnswer(TargetConnection &connection, const TargetInfo &target);
+    boost::asio::awaitable<boost::system::error_code> readHead(TargetConnection &connection, std::unique_ptr<AnswerParser> &parser);
+    boost::asio::awaitable<boost::system::error_code> readBody(TargetConnection &connection, AnswerParser &parser, std::string &body);
+    boost::asio::awaitable<AttemptEnd> relayPlain(TargetConnection &connection, AnswerParser &parser);
+    boost::asio::awaitable<AttemptEnd> relayStream(TargetConnection &connection, AnswerParser &parser);
+    boost::asio::awaitable<bool> writeStreamHead(const AnswerParser &parser);
+    boost::asio::awaitable<bool> writeEvents(std::string events);
+    boost::asio::awaitable<void> finish(NextStep step);
+    boost::asio::awaitable<void> writeOwn(ResultCode code, Duration retryAfter);
+    boost::asio::awaitable<void> writeWhole(HttpResponse &response);
+    boost::asio::awaitable<void> pauseBeforeRetry(Duration pause);
+    void noteEvents(TimePoint now);
+    void noteAttempt(const TargetInfo &target, AttemptEnd end, TimePoint began);
+    bool mayRetry();
+    Duration timeLeft() const;
+    Duration answerPatience() const;
+    AttemptState attemptState(AttemptEnd end) const;
+    ResultCode unknownCode() const;
+    void log() const;
+    bool closing() const;
+
+    GatewayState &m_state;
+    boost::beast::tcp_stream &m_caller;
+    HttpRequest m_request;
+    const bool m_keepAlive;
+    const TimePoint m_arrived;
+    CallerRequest m_facts;
+    RequestInfo m_info;
+    Route m_route;
+    std::shared_ptr<const ActiveConfiguration> m_active;
+    std::string m_pool;
+    std::string m_customer;
+    TimePoint m_deadline{};
+    ResultCode m_result = ResultCode::Ok;
+    Duration m_retryAfter{0};
+    std::string m_reason; ///< of the last attempt that did not answer, for the log
+
+    std::shared_ptr<TargetConnection> m_connection; ///< in use, so that callerGone() can close it
+    std::set<std::string> m_tried;
+    std::string m_targets; ///< ids, for the log
+    unsigned m_sends = 0;
+    unsigned m_ran = 0;
+    bool m_gone = false;
+    bool m_broken = false; ///< the caller's connection can't be used any more
+    bool m_answerBegun = false;
+    unsigned m_status = 0; ///< given to the caller; 0: nothing
+    HttpResponse m_failure; ///< the last failure that a runner gave, for the caller
+    EventSplitter m_events;
+    TimePoint m_lastEvent{};
+    TimePoint m_firstEvent{};
+    Duration m_longestPause{0};
+};
+
+} // namespace fulmarlink
--- /dev/null
+++ b/fulmarlink/gatewayserver.cpp
@@ -0,0 +1,226 @@
+#include "fulmarlink/gatewayserver.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <sys/socket.h>
+
+#include "fulmarlink/callerprotocol.h"
+#include "fulmarlink/gatewayexchange.h"
+#include "fulmarlink/httpconnection.h"
+#include "fulmarlink/log.h"
+
+namespace fulmarlink
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace
+{
+
+constexpr std::size_t kFirstRead = 4096;
+constexpr int kBacklog = 1024;
+constexpr std::chrono::milliseconds kAcceptPause{20}; ///< when descriptors have run out
+constexpr std::chrono::milliseconds kBodyTimeout{10'000}; ///< a body of the largest size over a slow link
+constexpr std::chrono::milliseconds kRefusalTimeout{2000};
+
+ResultCode inputCode(const boost::system::error_code &error)
+{
+    if (error == http::error::header_limit) {
+        return ResultCode::HeaderTooLarge;
+    }
+    if (error == http::error::body_limit) {
+        return ResultCode::BodyTooLarge;
+    }
+    return error == boost::beast::error::timeout ? ResultCode::SlowSender : ResultCode::MalformedRequest;
+}
+
+} // namespace
+
+struct GatewayServer::Connection {
+    explicit Connection(tcp::socket socket)
+        : stream(std::move(socket))
+    {
+    }
+
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer;
+    GatewayExchange *exchange = nullptr; ///< the request that is being answered
+    bool watching = false;
+    bool reading = false; ///< a request has begun to arrive
+};
+
+GatewayServer::GatewayServer(asio::any_io_executor executor, GatewayState &state)
+    : m_executor(executor)
+    , m_state(state)
+    , m_acceptor(executor)
+    , m_accepted(state.counters.registerCounter("fulmarlink_caller_connections_total"))
+    , m_acceptFailures(state.counters.registerCounter("fulmarlink_accept_failures_total"))
+{
+}
+
+GatewayServer::~GatewayServer() = default;
+
+void GatewayServer::listen()
+{
+    const tcp::endpoint endpoint(asio::ip::make_address(m_state.settings.callers.address), m_state.settings.callers.port);
+    m_acceptor.open(endpoint.protocol());
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+    m_acceptor.bind(endpoint);
+    m_acceptor.listen(kBacklog);
+    asio::co_spawn(m_executor, acceptLoop(), asio::detached);
+}
+
+void GatewayServer::stop()
+{
+    boost::system::error_code ignored; // the process ends
+    m_acceptor.close(ignored);
+}
+
+void GatewayServer::closeIdle()
+{
+    for (Connection *connection : m_connections) {
+        if (connection->exchange == nullptr && !connection->reading && connection->buffer.size() == 0) {
+            connection->stream.close();
+        }
+    }
+}
+
+asio::awaitable<void> GatewayServer::acceptLoop()
+{
+    while (m_acceptor.is_open()) {
+        boost::system::error_code error;
+        tcp::socket socket = co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (error) {
+            m_state.counters.add(m_acceptFailures);
+            logWarning("accept-failed", {{"error", error.message()}});
+            asio::steady_timer timer(m_executor, kAcceptPause);
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+            continue;
+        }
+        m_state.counters.add(m_accepted);
+        auto connection = std::make_shared<Connection>(std::move(socket));
+        asio::co_spawn(m_executor, serve(std::move(connection)), asio::detached);
+    }
+}
+
+asio::awaitable<void> GatewayServer::serve(std::shared_ptr<Connection> connection)
+{
+    m_connections.insert(connection.get());
+    tuneSocket(connection->stream);
+    bool again = true;
+    while (again) {
+        again = co_await serveOne(connection);
+    }
+    m_connections.erase(connection.get());
+    connection->stream.close();
+}
+
+/** Looks at the caller's socket while its request is answered: an end there means that nobody waits. */
+void GatewayServer::watch(const std::shared_ptr<Connection> &connection)
+{
+    if (connection->watching) {
+        return;
+    }
+    connection->watching = true;
+    connection->stream.socket().async_wait(tcp::socket::wait_read, [connection](const boost::system::error_code &error) {
+        connection->watching = false;
+        if (connection->exchange == nullptr) {
+            return;
+        }
+        char byte = 0;
+        const auto got = error ? 0 : recv(connection->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
+            connection->exchange->callerGone();
+        }
+    });
+}
+
+asio::awaitable<bool> GatewayServer::readRequest(Connection &connection, RequestParser &parser)
+{
+    const auto active = m_state.config.active();
+    const CallerLimits limits = active ? active->configuration.limits : CallerLimits();
+    boost::system::error_code error;
+    auto token = asio::redirect_error(asio::use_awaitable, error);
+    connection.reading = connection.buffer.size() > 0;
+    if (!connection.reading) {
+        connection.stream.expires_after(limits.idleTimeout);
+        const std::size_t bytes = co_await connection.stream.async_read_some(connection.buffer.prepare(kFirstRead), token);
+        if (error || bytes == 0) {
+            co_return false;
+        }
+        connection.buffer.commit(bytes);
+        connection.reading = true;
+    }
+    parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
+    parser.body_limit(limits.maxBodyBytes);
+    connection.stream.expires_after(limits.headerTimeout);
+    co_await http::async_read_header(connection.stream, connection.buffer, parser, token);
+    if (!error && !parser.is_done()) {
+        connection.stream.expires_after(kBodyTimeout);
+        if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+            http::response<http::empty_body> go(http::status::continue_, 11);
+            co_await http::async_write(connection.stream, go, token);
+        }
+        if (!error) {
+            co_await http::async_read(connection.stream, connection.buffer, parser, token);
+        }
+    }
+    if (error) {
+        co_await refuseInput(connection, parser, error);
+    }
+    co_return !error;
+}
+
+asio::awaitable<void> GatewayServer::refuseInput(Connection &connection, const RequestParser &parser, const boost::system::error_code &error)
+{
+    const ResultCode code = inputCode(error);
+    const bool closed = error == http::error::end_of_stream || error == http::error::partial_message || error.category() == asio::error::get_system_category();
+    logRequest("request-unreadable", {{"result", resultInfo(code).name}, {"error", error.message()}, {"caller_closed", closed ? "true" : "false"}});
+    if (closed) {
+        co_return;
+    }
+    m_state.counters.countResult(code);
+    const CallerRequest facts = m_state.protocol.readRequest(parser.get());
+    HttpResponse response(static_cast<http::status>(resultInfo(code).httpStatus), 11);
+    m_state.protocol.writeOwnAnswer(response, facts.attemptId, std::nullopt);
+    response.keep_alive(false);
+    response.body() = std::string(resultInfo(code).meaning) + '\n';
+    response.prepare_payload();
+    boost::system::error_code ignored; // the connection is closed after this in any case
+    connection.stream.expires_after(kRefusalTimeout);
+    co_await http::async_write(connection.stream, response, asio::redirect_error(asio::use_awaitable, ignored));
+    connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+asio::awaitable<bool> GatewayServer::serveOne(const std::shared_ptr<Connection> &connection)
+{
+    RequestParser parser;
+    const bool read = co_await readRequest(*connection, parser);
+    if (!read) {
+        co_return false;
+    }
+    connection->stream.expires_never();
+    const bool keepAlive = parser.keep_alive();
+    GatewayExchange exchange(m_state, connection->stream, parser.release(), keepAlive);
+    connection->exchange = &exchange;
+    watch(connection);
+    const bool again = co_await exchange.run();
+    connection->exchange = nullptr;
+    connection->reading = false;
+    co_return again;
+}
+
+} // namespace fulmarlink
--- /dev/null
+++ b/fulmarlink/gatewaysettings.cpp
@@ -0,0 +1,74 @@
+#include "fulmarlink/gatewaysettings.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+
+namespace fulmarlink
+{
+
+namespace
+{
+
+constexpr std::uint64_t kMaxMs = 3'600'000;
+constexpr double kMaxRatio = 10;
+constexpr double kMaxSlack = 1e6;
+constexpr double kMaxWeight = 1e3;
+
+/** ADDRESS:PORT */
+HttpTarget readAddress(const YamlReader &reader, std::string_view key, bool required)
+{
+    HttpTarget target;
+    if (!required && !reader.has(key)) {
+        return target;
+    }
+    const std::string text = reader.requiredText(key);
+    const std::size_t colon = text.rfind(':');
+    boost::system::error_code error;
+    target.address = text.substr(0, colon);
+    boost::asio::ip::make_address(target.address, error);
+    const std::string_view port = colon == std::string::npos ? std::string_view() : std::string_view(text).substr(colon + 1);
+    const auto [end, wrong] = std::from_chars(port.data(), port.data() + port.size(), target.port);
+    if (!text.empty() && (error || wrong != std::errc() || end != port.data() + port.size())) {
+        reader.child(key).expected("an IP number and a port, as 10.0.0.1:8080");
+    }
+    return target;
+}
+
+std::chrono::milliseconds readMs(const YamlReader &reader, std::string_view key, std::chrono::milliseconds fallback)
+{
+    return std::chrono::milliseconds(reader.number(key, static_cast<std::uint64_t>(fallback.count()), 1, kMaxMs));
+}
+
+} // namespace
+
+GatewaySettings GatewaySettings::parse(std::string_view text, const std::string &file, FileErrors &errors)
+{
+    GatewaySettings settings;
+    const YamlReader reader = YamlReader::parse(text, file, errors);
+    reader.keys({"host", "zone", "log_level", "listen", "store", "bounds", "planner"});
+    settings.host = reader.requiredText("host");
+    settings.zone = reader.requiredText("zone");
+    settings.logLevel = reader.text("log_level", settings.logLevel);
+    const YamlReader listen = reader.child("listen");
+    listen.keys({"callers", "readiness", "metrics", "peers"});
+    settings.callers = readAddress(listen, "callers", true);
+    settings.readiness = readAddress(listen, "readiness", true);
+    settings.metrics = readAddress(listen, "metrics", false);
+    settings.peers = readAddress(listen, "peers", false);
+    settings.store = readAddress(reader, "store", true);
+    const YamlReader bounds = reader.child("bounds");
+    bounds.keys({"revoke_ms", "shutdown_ms", "stall_ms", "retry_window_ms", "retry_ratio", "retry_slack"});
+    settings.revokeBound = readMs(bounds, "revoke_ms", settings.revokeBound);
+    settings.shutdownLimit = readMs(bounds, "shutdown_ms", settings.shutdownLimit);
+    settings.stall = readMs(bounds, "stall_ms", settings.stall);
+    settings.retryWindow = readMs(bounds, "retry_window_ms", settings.retryWindow);
+    settings.retryRatio = bounds.real("retry_ratio", settings.retryRatio, 0, kMaxRatio);
+    settings.retrySlack = bounds.real("retry_slack", settings.retrySlack, 0, kMaxSlack);
+    const YamlReader planner = reader.child("planner");
+    planner.keys({"skew_weight", "cost_weight"});
+    settings.skewWeight = planner.real("skew_weight", settings.skewWeight, 0, kMaxWeight);
+    settings.costWeight = planner.real("cost_weight", settings.costWeight, 0, kMaxWeight);
+    return settings;
+}
+
+} // namespace fulmarlink
--- /dev/null
+++ b/fulmarlink/gatewaysettings.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <string_view>
+
+#include "fulmarlink/httpclient.h"
+#include "fulmarlink/yamlreader.h"
+
+namespace fulmarlink
+{
+
+/**
+ * Settings of an entry host's process that calls runners directly. The figures that
+ * bound what the system promises come from the platform's settings by the template.
+ */
+struct GatewaySettings {
+    std::string host;
+    std::string zone;
+    std::string logLevel = "info";
+    HttpTarget callers; ///< where callers connect
+    HttpTarget readiness; ///< where the platform asks whether this host takes connections
+    HttpTarget metrics; ///< port 0: none
+    HttpTarget peers; ///< load reports between entries, UDP; port 0: none
+    HttpTarget store;
+    std::chrono::milliseconds revokeBound{5000}; ///< a key that was taken away runs nowhere after this
+    std::chrono::milliseconds shutdownLimit{8000}; ///< from SIGTERM to SIGKILL
+    std::chrono::milliseconds stall{1500}; ///< work that depends on a dead rank stands still for so long before it is cut off
+    std::chrono::milliseconds retryWindow{10'000};
+    double retryRatio = 0.2; ///< repeats for each request of the window, over all entries
+    double retrySlack = 90; ///< and so many more
+    double skewWeight = 1; ///< worth of steps that are shorter, against...
+    double costWeight = 1; ///< ...the price of moving experts
+
+    /** All errors are recorded; the result is only meaningful without any. */
+    static GatewaySettings parse(std::string_view text, const std::string &file, FileErrors &errors);
+};
+
+} // namespace fulmarlink
--- /dev/null
+++ b/fulmarlink/gatewaystate.cpp
@@ -0,0 +1,58 @@
+#include "fulmarlink/gatewaystate.h"
+
+#include <random>
+
+namespace fulmarlink
+{
+
+namespace
+{
+
+/** Between the check of a key and the runner's start: a busy host's delay and the way to the runner. */
+constexpr Duration kRevokeMargin = std::chrono::milliseconds(600);
+
+TargetTableOptions tableOptions(const GatewaySettings &settings)
+{
+    TargetTableOptions options;
+    options.zone = settings.zone;
+    return options;
+}
+
+} // namespace
+
+GatewayState::GatewayState(GatewaySettings theSettings, const Clock &theClock, Counters &theCounters, const CallerProtocol &theProtocol)
+    : settings(std::move(theSettings))
+    , clock(theClock)
+    , counters(theCounters)
+    , protocol(theProtocol)
+    , targets(tableOptions(settings))
+    , random(std::random_device()())
+{
+}
+
+WindowBudgetOptions GatewayState::budgetOptions() const
+{
+    WindowBudgetOptions options;
+    options.window = settings.retryWindow;
+    options.ratio = settings.retryRatio;
+    options.slack = settings.retrySlack;
+    options.entries = entries;
+    return options;
+}
+
+PoolState &GatewayState::pool(const std::string &name)
+{
+    return pools.try_emplace(name, budgetOptions()).first->second;
+}
+
+Duration GatewayState::keyProofLimit() const
+{
+    return settings.revokeBound - kRevokeMargin;
+}
+
+bool GatewayState::keysProved(TimePoint now) const
+{
+    return config.age(now) < keyProofLimit();
+}
+
+} // namespace fulmarlink
--- /dev/null
+++ b/fulmarlink/gatewaystate.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "fulmarlink/clock.h"
+#include "fulmarlink/configstate.h"
+#include "fulmarlink/counters.h"
+#include "fulmarlink/gatewaysettings.h"
+#include "fulmarlink/poolgate.h"
+#include "fulmarlink/targettable.h"
+#include "fulmarlink/windowbudget.h"
+
+namespace fulmarlink
+{
+
+class CallerProtocol;
+class TargetConnections;
+
+/** One pool as this entry sees it. */
+struct PoolState {
+    explicit PoolState(WindowBudgetOptions options)
+        : budget(options)
+    {
+    }
+
+    WindowBudget budget;
+    PoolGate gate;
+};
+
+/** What all requests of one entry's process share. Used by one thread. */
+struct GatewayState {
+    GatewayState(GatewaySettings theSettings, const Clock &theClock, Counters &theCounters, const CallerProtocol &theProtocol);
+
+    PoolState &pool(const std::string &name);
+    WindowBudgetOptions budgetOptions() const;
+    /** A keyed request may only run while the configuration's proof is younger than this. */
+    Duration keyProofLimit() const;
+    /** True if a keyed request that is here now may still be run. */
+    bool keysProved(TimePoint now) const;
+
+    GatewaySettings settings;
+    const Clock &clock;
+    Counters &counters;
+    const CallerProtocol &protocol;
+    ConfigState config;
+    TargetTable targets;
+    TargetConnections *connections = nullptr;
+    std::map<std::string, PoolState> pools;
+    Random random;
+    unsigned entries = 1; ///< entries that share budgets, this one included
+    bool draining = false;
+    unsigned exchanges = 0; ///< requests that are not answered yet
+};
+
+} // namespace fulmarlink
--- a/fulmarlink/log.cpp
+++ b/fulmarlink/log.cpp
@@ -1,10 +1,14 @@
 #include "fulmarlink/log.h"
 
+#include <chrono>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
+#include <mutex>
+#include <poll.h>
+#include <unistd.h>
 
 namespace fulmarlink
 {
@@ -18,6 +22,109 @@
     return instance;
 }
 
+constexpr std::size_t kMaxHeldBytes = 256U << 10; ///< lines that the reader has not taken yet
+constexpr std::size_t kWriteBytes = 4096; ///< a pipe that polls as writable takes so many without blocking (PIPE_BUF)
+
+/** Gathers lines and writes them to a descriptor without ever blocking. Thread-safe. */
+class LineBuffer
+{
+public:
+    void add(const std::string &line)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_held.size() + line.size() > kMaxHeldBytes) {
+            ++m_dropped;
+            return;
+        }
+        if (m_dropped > 0) {
+            m_held += "event=log-lines-dropped count=\"" + std::to_string(m_dropped) + "\" reason=\"reader too slow\"\n";
+            m_dropped = 0;
+        }
+        m_held += line;
+        if (m_held.size() >= kWriteBytes) {
+            write();
+        }
+    }
+
+    void flush()
+    {
+        const std::lock_guard lock(m_mutex);
+        write();
+    }
+
+private:
+    void write()
+    {
+        std::size_t done = 0;
+        while (done < m_held.size()) {
+            pollfd ready{STDOUT_FILENO, POLLOUT, 0};
+            if (poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0) {
+                break;
+            }
+            const auto written = ::write(STDOUT_FILENO, m_held.data() + done, std::min(kWriteBytes, m_held.size() - done));
+            if (written <= 0) {
+                break;
+            }
+            done += static_cast<std::size_t>(written);
+        }
+        m_held.erase(0, done);
+    }
+
+    std::mutex m_mutex;
+    std::string m_held;
+    std::uint64_t m_dropped = 0;
+};
+
+LineBuffer &lineBuffer()
+{
+    static LineBuffer instance;
+    return instance;
+}
+
+/** Lines on requests that may still be written in this second. */
+class LineRate
+{
+public:
+    /** True if a line may be written; then @p missed is how many were not since the last. */
+    bool take(std::uint64_t &missed)
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto now = std::chrono::steady_clock::now();
+        if (now - m_began >= std::chrono::seconds(1)) {
+            m_began = now;
+            m_written = 0;
+        }
+        if (m_written >= kMaxRequestLines) {
+            ++m_missed;
+            return false;
+        }
+        ++m_written;
+        missed = std::exchange(m_missed, 0);
+        return true;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::chrono::steady_clock::time_point m_began{};
+    unsigned m_written = 0;
+    std::uint64_t m_missed = 0;
+};
+
+bool &standardOutput()
+{
+    static bool chosen = false;
+    return chosen;
+}
+
+/** Seconds since the epoch with milliseconds; cheap, and the same in every time zone. */
+std::string timeText()
+{
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    std::string millis = std::to_string(now % 1000);
+    millis.insert(0, 3 - millis.size(), '0');
+    return std::to_string(now / 1000) + '.' + millis;
+}
+
 std::string format(std::string_view event, std::initializer_list<LogField> fields)
 {
     std::string line = "event=" + std::string(event);
@@ -33,23 +140,60 @@
 
 } // namespace
 
-void startLogging(std::string_view level)
+void startLogging(std::string_view level, bool toStandardOutput)
 {
-    const auto layout = std::make_shared<log4cxx::PatternLayout>("%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %p %m%n");
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, "System.err");
+    standardOutput() = toStandardOutput;
     logger()->setAdditivity(false);
-    logger()->addAppender(appender);
+    if (!toStandardOutput) {
+        const auto layout = std::make_shared<log4cxx::PatternLayout>("%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %p %m%n");
+        logger()->addAppender(std::make_shared<log4cxx::ConsoleAppender>(layout, "System.err"));
+    }
     logger()->setLevel(log4cxx::Level::toLevel(std::string(level), log4cxx::Level::getInfo()));
 }
 
+namespace
+{
+
+void write(const log4cxx::LevelPtr &level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    if (!logger()->isEnabledFor(level)) {
+        return;
+    }
+    if (standardOutput()) {
+        lineBuffer().add(timeText() + ' ' + level->toString() + ' ' + format(event, fields) + '\n');
+    } else {
+        LOG4CXX_LOG(logger(), level, format(event, fields));
+    }
+}
+
+} // namespace
+
 void logChange(std::string_view event, std::initializer_list<LogField> fields)
 {
-    LOG4CXX_INFO(logger(), format(event, fields));
+    write(log4cxx::Level::getInfo(), event, fields);
+}
+
+void logRequest(std::string_view event, std::initializer_list<LogField> fields)
+{
+    static LineRate rate;
+    std::uint64_t missed = 0;
+    if (!rate.take(missed)) {
+        return;
+    }
+    if (missed > 0) {
+        logChange("request-lines-left-out", {{"count", std::to_string(missed)}});
+    }
+    logChange(event, fields);
+}
+
+void flushLog()
+{
+    lineBuffer().flush();
 }
 
 void logWarning(std::string_view event, std::initializer_list<LogField> fields)
 {
-    LOG4CXX_WARN(logger(), format(event, fields));
+    write(log4cxx::Level::getWarn(), event, fields);
 }
 
 } // namespace fulmarlink
--- /dev/null
+++ b/fulmarlink/platform.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <system_error>
+#include <vector>
+
+#include "fulmarlink/clock.h"
+#include "fulmarlink/configuration.h"
+#include "fulmarlink/rankorders.h"
+#include "fulmarlink/targettable.h"
+
+namespace fulmarlink
+{
+
+/** The operator's configuration as read at one time. */
+struct ConfigurationRead {
+    std::error_code error;
+    TimePoint began{}; ///< when the read began; what it shows was in force then
+    std::optional<Configuration> configuration; ///< absent: the same as the last read gave
+};
+
+struct TargetsRead {
+    std::error_code error;
+    bool changed = false; ///< false: the same as the last read gave, and targets is empty
+    std::vector<TargetInfo> targets;
+    unsigned malformed = 0; ///< entries that could not be understood
+};
+
+/** An entry host's process, as it announces itself to the others. */
+struct EntryInfo {
+    std::string host;
+    HttpTarget peerAddress; ///< where it takes load reports, UDP
+};
+
+struct EntriesRead {
+    std::error_code error;
+    std::vector<EntryInfo> entries;
+};
+
+/** Who may give orders to a group, until when by the holder's own clock. */
+struct LeaseRecord {
+    std::uint64_t revision = 0; ///< 0: there is no record
+    std::string holder;
+    std::uint64_t renewals = 0; ///< changes with each renewal, so that the others see that the holder lives
+};
+
+struct LeaseRead {
+    std::error_code error; ///< VersionConflict: somebody else was faster, and record is theirs
+    LeaseRecord record;
+};
+
+/**
+ * What the product needs from the platform on which it runs. Implementations only
+ * translate; they decide nothing and keep no state but connections and what was read last.
+ *
+ * Errors: StoreUnavailable (nothing was done), StoreAnswerLost (a write may have taken
+ * effect, now or later), VersionConflict, ObjectNotFound, ConfigurationInvalid.
+ */
+class Platform
+{
+public:
+    virtual ~Platform() = default;
+
+    /** Linearizable. */
+    virtual boost::asio::awaitable<ConfigurationRead> readConfiguration() = 0;
+    /** Linearizable. */
+    virtual boost::asio::awaitable<TargetsRead> readTargets() = 0;
+    virtual boost::asio::awaitable<std::error_code> announceEntry(EntryInfo self) = 0;
+    /** May be seconds old. */
+    virtual boost::asio::awaitable<EntriesRead> readEntries() = 0;
+    virtual boost::asio::awaitable<LeaseRead> readLease(std::string group) = 0;
+    /** Writes if the record still has @p record.revision; 0 demands that there is none. */
+    virtual boost::asio::awaitable<LeaseRead> writeLease(std::string group, LeaseRecord record) = 0;
+
+    virtual boost::asio::awaitable<RankReportRead> readRankReport(TargetInfo target) = 0;
+    virtual boost::asio::awaitable<ExpertCountsRead> readExpertCounts(TargetInfo target) = 0;
+    virtual boost::asio::awaitable<RankPlacementRead> readRankPlacement(TargetInfo target) = 0;
+    virtual boost::asio::awaitable<OrderResult> order(TargetInfo target, RankOrder order) = 0;
+};
+
+} // namespace fulmarlink
--- /dev/null
+++ b/fulmarlink/poolgate.cpp
@@ -0,0 +1,88 @@
+#include "fulmarlink/poolgate.h"
+
+#include <algorithm>
+
+namespace fulmarlink
+{
+
+namespace
+{
+
+constexpr Duration kWindow = std::chrono::milliseconds(400); ///< several passes of a loaded group, so that one long prompt does not move the ceiling
+constexpr unsigned kLeastSeen = 8; ///< pauses that a window must hold to say something
+constexpr double kLateShare = 0.1; ///< of a window's pauses; a stream with one late pause of 24 is late as a whole
+constexpr double kDecrease = 0.92;
+constexpr double kIncrease = 0.03;
+constexpr Duration kOverloadedRetry = std::chrono::milliseconds(350); ///< about the time in which a tenth of the streams in progress end
+constexpr Duration kStalledRetry = std::chrono::milliseconds(900); ///< groups form within 0.6 s of a rank's return
+constexpr Duration kEmptyRetry = std::chrono::milliseconds(700);
+
+} // namespace
+
+Duration PoolGate::retryAfter(Duration base, Random &random) const
+{
+    return Duration(std::uniform_int_distribution<Duration::rep>(base.count() / 2, base.count() * 3 / 2)(random));
+}
+
+GateDecision PoolGate::decide(const PoolLoad &load, TimePoint now, Random &random)
+{
+    if (load.runners == 0 || !load.leastLoadKnown) {
+        return {false, ResultCode::EmptyPool, retryAfter(kEmptyRetry, random)};
+    }
+    if (stalled()) {
+        if (now < m_nextProbe) {
+            return {false, ResultCode::PoolStalled, retryAfter(kStalledRetry, random)};
+        }
+        m_nextProbe = now + kProbeInterval;
+        return {};
+    }
+    if (load.leastLoad >= m_ceiling) {
+        return {false, ResultCode::PoolOverloaded, retryAfter(kOverloadedRetry, random)};
+    }
+    return {};
+}
+
+void PoolGate::paceSeen(double ratio, TimePoint now)
+{
+    if (now - m_windowBegan >= kWindow) {
+        if (m_seen >= kLeastSeen) {
+            const bool late = m_late > m_seen * kLateShare;
+            m_ceiling = std::clamp(late ? m_ceiling * kDecrease : m_ceiling + kIncrease, kMinCeiling, kMaxCeiling);
+        }
+        m_windowBegan = now;
+        m_seen = 0;
+        m_late = 0;
+    }
+    ++m_seen;
+    m_late += ratio > 1 ? 1 : 0;
+}
+
+void PoolGate::refusalSeen(TimePoint now)
+{
+    if (++m_refusals == kRefusalsToStall) {
+        m_nextProbe = now + kProbeInterval;
+    }
+}
+
+void PoolGate::answerSeen(TimePoint now)
+{
+    m_refusals = 0;
+    m_lastAnswer = now;
+}
+
+double PoolGate::ceiling() const
+{
+    return m_ceiling;
+}
+
+bool PoolGate::stalled() const
+{
+    return m_refusals >= kRefusalsToStall;
+}
+
+TimePoint PoolGate::lastAnswer() const
+{
+    return m_lastAnswer;
+}
+
+} // namespace fulmarlink
--- /dev/null
+++ b/fulmarlink/poolgate.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <deque>
+#include <string_view>
+
+#include "fulmarlink/clock.h"
+#include "fulmarlink/resultcode.h"
+
+namespace fulmarlink
+{
+
+/** What the gate knows when a request comes. */
+struct PoolLoad {
+    unsigned runners = 0; ///< that may take work
+    double leastLoad = 0; ///< of the best runner, in requests for each of its slots
+    bool leastLoadKnown = false; ///< false: there is no runner
+};
+
+struct GateDecision {
+    bool admitted = true;
+    ResultCode refusal = ResultCode::Ok;
+    Duration retryAfter{0};
+};
+
+/**
+ * Decides at once whether a pool takes one more request, and when a refused caller
+ * should come back.
+ *
+ * Overload: runners that answer in lock-step slow each other down, so the gate keeps a
+ * ceiling on the requests for each slot and moves it by what callers see: it sinks by a
+ * tenth when pauses between events or first events are late, and rises slowly while
+ * they are on time (additive increase, multiplicative decrease).
+ *
+ * Stall: a group that has lost a rank refuses everything until it has formed again.
+ * After kRefusalsToStall refusals in a row the gate lets one request through at a time,
+ * each kProbeInterval, and refuses the others at once.
+ *
+ * Contract: pure; not thread-safe; O(1).
+ */
+class PoolGate
+{
+public:
+    static constexpr unsigned kRefusalsToStall = 4;
+    static constexpr Duration kProbeInterval = std::chrono::milliseconds(150);
+    static constexpr double kMaxCeiling = 1.5; ///< runners queue about two requests for each slot; half a slot's worth still begins in time
+    static constexpr double kMinCeiling = 0.25;
+
+    GateDecision decide(const PoolLoad &load, TimePoint now, Random &random);
+
+    /** A stream's pause, or its wait for the first event, took @p ratio times what is on time. */
+    void paceSeen(double ratio, TimePoint now);
+    /** A runner of the pool proved that it did not run a request. */
+    void refusalSeen(TimePoint now);
+    /** A runner of the pool has begun to answer. */
+    void answerSeen(TimePoint now);
+
+    double ceiling() const;
+    bool stalled() const;
+    /** When a runner of the pool last gave a sign of work. */
+    TimePoint lastAnswer() const;
+
+private:
+    Duration retryAfter(Duration base, Random &random) const;
+
+    double m_ceiling = kMaxCeiling;
+    unsigned m_refusals = 0; ///< in a row
+    TimePoint m_nextProbe{};
+    TimePoint m_lastAnswer{};
+    TimePoint m_windowBegan{};
+    unsigned m_seen = 0;
+    unsigned m_late = 0;
+};
+
+} // namespace fulmarlink
--- a/fulmarlink/requestinfo.h
+++ b/fulmarlink/requestinfo.h
@@ -29,6 +29,7 @@
     std::string customer;
     std::string model;
     std::string method;
+    std::string host; ///< as the caller named it, without a port
     std::string path;
     std::vector<std::pair<std::string, std::string>> headers; ///< as the caller sent them
     std::string idempotencyKey; ///< empty: the caller gave none
--- a/fulmarlink/resultcode.h
+++ b/fulmarlink/resultcode.h
@@ -52,6 +52,10 @@
     CancelledBeforeRun = 127,
     ConfigurationTooOld = 128,
     TooManyRequests = 129,
+    ApiKeyUnknown = 130,
+    ConfigurationUnproved = 131,
+    PoolOverloaded = 132,
+    PoolStalled = 133,
 
     // The outcome is unknown, or the request ran and its answer can't be given.
     LinkLost = 201,
@@ -65,6 +69,8 @@
     AnswerNoLongerHeld = 209,
     DispatchExpired = 210,
     CallerGone = 211,
+    RunnerFailed = 212,
+    AnswerInvalid = 213,
 
     // Links between fulmarlink's own processes.
     FrameTooLarge = 301,
@@ -81,6 +87,7 @@
     StoreAnswerLost = 405,
     VersionNotNewer = 406,
     ObjectNotFound = 407,
+    ConfigurationInvalid = 408,
 };
 
 /** What a result code says about the request it is given for. */
--- a/fulmarlink/ruleset.cpp
+++ b/fulmarlink/ruleset.cpp
@@ -104,6 +104,14 @@
     return result;
 }
 
+std::shared_ptr<const RuleSet> RuleSet::fromRules(std::vector<Rule> rules)
+{
+    auto result = std::make_shared<RuleSet>();
+    result->m_rules = std::move(rules);
+    result->compile();
+    return result;
+}
+
 void RuleSet::compile()
 {
     for (std::uint32_t i = 0; i < m_rules.size(); ++i) {
--- a/fulmarlink/ruleset.h
+++ b/fulmarlink/ruleset.h
@@ -53,6 +53,9 @@
     /** Null if the file has any error; all of them are in @p errors. */
     static std::shared_ptr<const RuleSet> parse(std::string_view text, const std::string &file, FileErrors &errors);
 
+    /** Rules that were made in code, in order. */
+    static std::shared_ptr<const RuleSet> fromRules(std::vector<Rule> rules);
+
     /** The index of the first rule that matches, or -1. */
     int match(const RequestInfo &request) const;
     int matchLinear(const RequestInfo &request) const;
--- /dev/null
+++ b/fulmarlink/targetconnections.cpp
@@ -0,0 +1,86 @@
+#include "fulmarlink/targetconnections.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <sys/socket.h>
+
+#include "fulmarlink/httpconnection.h"
+
+namespace fulmarlink
+{
+
+namespace asio = boost::asio;
+
+TargetConnections::TargetConnections(asio::any_io_executor executor, const Clock &clock, Counters &counters)
+    : m_executor(std::move(executor))
+    , m_clock(clock)
+    , m_counters(counters)
+    , m_opened(counters.registerCounter("fulmarlink_target_connections_opened_total"))
+    , m_reused(counters.registerCounter("fulmarlink_target_connections_reused_total"))
+    , m_discarded(counters.registerCounter("fulmarlink_target_connections_discarded_total"))
+{
+}
+
+bool TargetConnections::fit(TargetConnection &connection) const
+{
+    if (m_clock.now() - connection.idleSince >= connection.idleLimit || connection.buffer.size() > 0) {
+        return false;
+    }
+    char byte = 0;
+    const auto got = recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+asio::awaitable<std::shared_ptr<TargetConnection>> TargetConnections::acquire(TargetInfo target, std::chrono::milliseconds timeout)
+{
+    auto &kept = m_idle[target.id];
+    while (!kept.empty()) {
+        std::shared_ptr<TargetConnection> connection = kept.back();
+        kept.pop_back();
+        if (fit(*connection)) {
+            m_counters.add(m_reused);
+            connection->reused = true;
+            co_return connection;
+        }
+        m_counters.add(m_discarded);
+    }
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(target.address.address, error);
+    auto connection = std::make_shared<TargetConnection>(m_executor);
+    connection->target = target.id;
+    connection->stream.expires_after(timeout);
+    m_counters.add(m_opened);
+    if (!error) {
+        co_await connection->stream.async_connect({address, target.address.port}, asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (error) {
+        co_return nullptr;
+    }
+    tuneSocket(connection->stream);
+    co_return connection;
+}
+
+void TargetConnections::release(std::shared_ptr<TargetConnection> connection)
+{
+    connection->stream.expires_never();
+    connection->idleSince = m_clock.now();
+    auto &kept = m_idle[connection->target];
+    if (kept.size() < kMaxIdlePerTarget) {
+        kept.push_back(std::move(connection));
+    }
+}
+
+void TargetConnections::sweep(const TargetTable &targets)
+{
+    const TimePoint now = m_clock.now();
+    for (auto it = m_idle.begin(); it != m_idle.end();) {
+        std::erase_if(it->second, [&](const auto &connection) {
+            return now - connection->idleSince >= connection->idleLimit;
+        });
+        const bool useless = it->second.empty() || targets.find(it->first) == nullptr;
+        it = useless ? m_idle.erase(it) : std::next(it);
+    }
+}
+
+} // namespace fulmarlink
--- /dev/null
+++ b/fulmarlink/targettable.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fulmarlink/clock.h"
+#include "fulmarlink/httpclient.h"
+
+namespace fulmarlink
+{
+
+/** One runner as the platform lists it. */
+struct TargetInfo {
+    std::string id; ///< of this start of the runner
+    std::string pool;
+    HttpTarget address;
+    std::string zone;
+    unsigned slots = 1;
+    bool leaving = false;
+};
+
+/** What a runner says of its load, in requests. */
+struct TargetLoad {
+    unsigned running = 0;
+    unsigned waiting = 0;
+};
+
+struct TargetTableOptions {
+    std::string zone; ///< of this host
+    Duration lapseGrace = std::chrono::milliseconds(1500); ///< a runner that an outage made vanish counts as there for so long after it
+    Duration outage = std::chrono::milliseconds(2500); ///< a list that comes after a gap as long as this ends an outage
+    Duration ejectFor = std::chrono::milliseconds(1500); ///< after kFailuresToEject failures in a row
+    Duration loadTrust = std::chrono::milliseconds(1200); ///< a reported load counts in full until then and not at all at twice that age
+};
+
+/** What a new list changed, for the log. */
+struct TargetChanges {
+    std::vector<std::string> added;
+    std::vector<std::string> leaving;
+    std::vector<std::string> gone;
+};
+
+/**
+ * The runners that requests may go to, and the choice among them.
+ *
+ * A runner's load is this entry's own requests there plus what the runner last said of
+ * the others', which fades with age. Requests go to the least loaded for its slots; the
+ * own availability zone wins ties. A runner that fails several times in a row is passed
+ * over for a while, unless all are.
+ *
+ * Contract: a runner that is leaving or gone in the newest list is never picked. Pure;
+ * not thread-safe; pick() is O(runners of the pool).
+ */
+class TargetTable
+{
+public:
+    static constexpr unsigned kFailuresToEject = 3;
+    /** Load that a runner in another zone seems to have more, in requests; breaks ties towards the own zone. */
+    static constexpr double kOtherZoneLoad = 0.25;
+
+    explicit TargetTable(TargetTableOptions options);
+
+    /** The whole list of the platform, read at @p now. */
+    TargetChanges setTargets(const std::vector<TargetInfo> &list, TimePoint now);
+    /** Chooses a runner of @p pool that is not in @p tried; null if none may take work. */
+    const TargetInfo *pick(std::string_view pool, const std::set<std::string> &tried, TimePoint now, Random &random) const;
+    /** Null if the runner is not listed. */
+    const TargetInfo *find(const std::string &id) const;
+    bool mayTake(const std::string &id, TimePoint now) const;
+
+    void sent(const std::string &id);
+    void ended(const std::string &id);
+    void loadReported(const std::string &id, TargetLoad load, TimePoint now);
+    /** Requests of the other entries there, as one of their reports says; replaces what the runner's own report implied. */
+    void setOthers(const std::map<std::string, unsigned> &others, TimePoint now);
+    void succeeded(const std::string &id);
+    /** A failure that speaks against the runner. True if it is passed over from now on. */
+    bool failed(const std::string &id, TimePoint now);
+
+    /** Requests for each slot at @p id, as pick() compares them. */
+    double load(const std::string &id, TimePoint now) const;
+    unsigned available(std::string_view pool, TimePoint now) const;
+    unsigned slots(std::string_view pool, TimePoint now) const;
+    unsigned ownRequests(std::string_view pool) const;
+    std::map<std::string, unsigned> ownByTarget() const;
+    std::vector<TargetInfo> listed(std::string_view pool) const;
+    std::size_t size() const;
+
+private:
+    struct State {
+        TargetInfo info;
+        bool listed = true;
+        std::optional<TimePoint> missingSince; ///< absent from the list after an outage
+        unsigned own = 0;
+        unsigned others = 0;
+        std::optional<TimePoint> othersAt;
+        unsigned failures = 0; ///< in a row
+        TimePoint ejectedUntil{};
+    };
+
+    bool usable(const State &state, TimePoint now) const;
+    double score(const State &state, TimePoint now) const;
+
+    TargetTableOptions m_options;
+    std::map<std::string, State> m_states;
+    std::optional<TimePoint> m_listedAt;
+};
+
+} // namespace fulmarlink
--- /dev/null
+++ b/fulmarlink/windowbudget.cpp
@@ -0,0 +1,46 @@
+#include "fulmarlink/windowbudget.h"
+
+#include <algorithm>
+
+namespace fulmarlink
+{
+
+WindowBudget::WindowBudget(WindowBudgetOptions options)
+    : m_options(options)
+{
+}
+
+void WindowBudget::setOptions(WindowBudgetOptions options)
+{
+    m_options = options;
+}
+
+void WindowBudget::countRequest(TimePoint now)
+{
+    expire(now);
+    m_requests.push_back(now);
+}
+
+bool WindowBudget::takeRepeat(TimePoint now)
+{
+    expire(now);
+    const double shared = kShareUsed * m_options.slack / std::max(1U, m_options.entries);
+    const double allowed = m_options.ratio * static_cast<double>(m_requests.size()) + shared;
+    if (static_cast<double>(m_repeats.size()) + 1 > allowed) {
+        return false;
+    }
+    m_repeats.push_back(now);
+    return true;
+}
+
+void WindowBudget::expire(TimePoint now)
+{
+    const TimePoint oldest = now - m_options.window;
+    for (auto *times : {&m_requests, &m_repeats}) {
+        while (!times->empty() && times->front() <= oldest) {
+            times->pop_front();
+        }
+    }
+}
+
+} // namespace fulmarlink
--- /dev/null
+++ b/fulmarlink/windowbudget.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <deque>
+
+#include "fulmarlink/clock.h"
+
+namespace fulmarlink
+{
+
+struct WindowBudgetOptions {
+    Duration window = std::chrono::seconds(10);
+    double ratio = 0.2; ///< repeats allowed for each request of the window
+    double slack = 10; ///< and this many more, over all entries
+    unsigned entries = 5; ///< entries that share the slack
+};
+
+/**
+ * Bounds the repeats that one entry sends to a pool within any sliding window.
+ *
+ * Each entry keeps to the ratio of its own requests and to its part of the slack, so the
+ * sum over all entries keeps to the ratio and the slack without a message between them.
+ * kShareUsed leaves a tenth of the slack for an entry that has just been replaced and
+ * has forgotten what it sent.
+ *
+ * Contract: in any window the repeats granted are at most ratio x requests of that
+ * window + kShareUsed x slack / entries. O(1) amortised; not thread-safe.
+ */
+class WindowBudget
+{
+public:
+    static constexpr double kShareUsed = 0.9;
+
+    explicit WindowBudget(WindowBudgetOptions options);
+
+    void setOptions(WindowBudgetOptions options);
+    void countRequest(TimePoint now);
+    /** True, and counted, if one more repeat keeps the bound. */
+    bool takeRepeat(TimePoint now);
+
+private:
+    void expire(TimePoint now);
+
+    WindowBudgetOptions m_options;
+    std::deque<TimePoint> m_requests;
+    std::deque<TimePoint> m_repeats;
+};
+
+} // namespace fulmarlink
