Map switches by the entry that holds a pool's lease

Cause: demand moves among experts every few seconds and map 0 leaves the busiest rank at 3.5 times the mean. Change: LeaseKeeper, ExpertLoad, planExperts, GroupSwitch (pure) and MapKeeper (edge): counts, plan, prepare, hold, arm, go.

--- a/fulmarlink/configuration.h
+++ b/fulmarlink/configuration.h
@@ -59,6 +59,7 @@
     unsigned newPerSwitch = 0; ///< experts new to a rank, of a set and switch
     double expertMb = 0; ///< of one expert's copy
     double linkMbps = 0;
+    Duration reportLag{0}; ///< age of what a runner's report says
 };
 
 /** A service whose runners take requests. */
--- /dev/null
+++ b/fulmarlink/expertload.cpp
@@ -0,0 +1,46 @@
+#include "fulmarlink/expertload.h"
+
+#include <utility>
+
+namespace fulmarlink
+{
+
+void ExpertLoad::add(const std::string &target, const ExpertCountsRead &read)
+{
+    const auto [it, first] = m_last.try_emplace(target, read);
+    const ExpertCountsRead previous = std::exchange(it->second, read);
+    if (first || previous.epoch != read.epoch || previous.counts.size() != read.counts.size()) {
+        return;
+    }
+    m_difference.resize(read.counts.size());
+    for (std::size_t set = 0; set < read.counts.size(); ++set) {
+        const auto &now = read.counts[set];
+        const auto &then = previous.counts[set];
+        m_difference[set].resize(now.size(), 0);
+        for (std::size_t expert = 0; expert < now.size() && expert < then.size(); ++expert) {
+            const double chosen = now[expert] >= then[expert] ? static_cast<double>(now[expert] - then[expert]) : static_cast<double>(now[expert]);
+            m_difference[set][expert] += chosen;
+            m_gathered += chosen;
+        }
+    }
+}
+
+std::vector<std::vector<double>> ExpertLoad::take()
+{
+    m_gathered = 0;
+    return std::exchange(m_difference, {});
+}
+
+double ExpertLoad::gathered() const
+{
+    return m_gathered;
+}
+
+void ExpertLoad::clear()
+{
+    m_last.clear();
+    m_difference.clear();
+    m_gathered = 0;
+}
+
+} // namespace fulmarlink
--- /dev/null
+++ b/fulmarlink/expertplanner.cpp
@@ -0,0 +1,253 @@
+#include "fulmarlink/expertplanner.h"
+
+#include <algorithm>
+#include <numeric>
+#include <optional>
+
+namespace fulmarlink
+{
+
+namespace
+{
+
+using RankExperts = std::vector<std::vector<ExpertId>>;
+
+bool contains(const std::vector<ExpertId> &list, ExpertId expert)
+{
+    return std::ranges::find(list, expert) != list.end();
+}
+
+/** One set of layers while it is improved. Invariant: m_holders and m_loads agree with m_ranks. */
+class SetSearch
+{
+public:
+    SetSearch(RankExperts ranks, const std::vector<double> &load, const ExpertPlanOptions &options)
+        : m_before(ranks)
+        , m_ranks(std::move(ranks))
+        , m_load(load)
+        , m_options(options)
+        , m_holders(load.size(), 0)
+        , m_added(m_ranks.size(), 0)
+    {
+        for (const auto &experts : m_ranks) {
+            for (const ExpertId expert : experts) {
+                ++m_holders[expert];
+            }
+        }
+        recompute();
+    }
+
+    void improve()
+    {
+        const double mean = std::accumulate(m_loads.begin(), m_loads.end(), 0.0) / static_cast<double>(m_loads.size());
+        for (unsigned i = 0; i < m_options.maxChanges; ++i) {
+            const auto busiest = static_cast<std::size_t>(std::ranges::max_element(m_loads) - m_loads.begin());
+            const double excess = m_loads[busiest] - mean;
+            const auto change = best(busiest);
+            if (!change || excess <= 0 || change->relief < excess * m_options.leastGain || change->relief < mean * m_options.leastGain) {
+                return;
+            }
+            apply(busiest, *change);
+        }
+    }
+
+    const RankExperts &ranks() const
+    {
+        return m_ranks;
+    }
+
+private:
+    struct Change {
+        ExpertId expert = 0; ///< of the busiest rank
+        std::size_t other = 0; ///< the rank that takes it
+        std::optional<ExpertId> evicted; ///< leaves the other rank
+        bool exchange = false; ///< the evicted one comes to the busiest rank, and expert leaves it
+        double squares = 0; ///< change of the sum of squared loads
+        double relief = 0; ///< of the busiest rank
+    };
+
+    double share(ExpertId expert) const
+    {
+        return m_load[expert] / std::max(1U, m_holders[expert]);
+    }
+
+    bool isNew(std::size_t rank, ExpertId expert) const
+    {
+        return !contains(m_before[rank], expert);
+    }
+
+    bool mayAdd(std::size_t rank, ExpertId expert) const
+    {
+        return !contains(m_ranks[rank], expert) && (!isNew(rank, expert) || m_added[rank] < m_options.newPerSwitch);
+    }
+
+    static double square(double value)
+    {
+        return value * value;
+    }
+
+    /** A further replica of @p expert at @p other, where @p evicted (held elsewhere too) makes room. */
+    std::optional<Change> replica(std::size_t busiest, ExpertId expert, std::size_t other, std::optional<ExpertId> evicted) const
+    {
+        const double now = share(expert);
+        const double then = m_load[expert] / (m_holders[expert] + 1);
+        Change change{expert, other, evicted, false, 0, now - then};
+        std::vector<double> &delta = m_delta;
+        delta.assign(m_ranks.size(), 0);
+        for (std::size_t rank = 0; rank < m_ranks.size(); ++rank) {
+            if (contains(m_ranks[rank], expert)) {
+                delta[rank] += then - now;
+            }
+        }
+        delta[other] += then;
+        if (evicted) {
+            const double evictedNow = share(*evicted);
+            const double evictedThen = m_load[*evicted] / (m_holders[*evicted] - 1);
+            for (std::size_t rank = 0; rank < m_ranks.size(); ++rank) {
+                if (contains(m_ranks[rank], *evicted)) {
+                    delta[rank] += rank == other ? -evictedNow : evictedThen - evictedNow;
+                }
+            }
+        }
+        for (std::size_t rank = 0; rank < m_ranks.size(); ++rank) {
+            change.squares += square(m_loads[rank] + delta[rank]) - square(m_loads[rank]);
+        }
+        change.relief = -delta[busiest];
+        return change;
+    }
+
+    std::optional<Change> exchange(std::size_t busiest, ExpertId expert, std::size_t other, ExpertId back) const
+    {
+        if (contains(m_ranks[busiest], back) || !mayAdd(busiest, back)) {
+            return std::nullopt;
+        }
+        const double moved = share(expert) - share(back);
+        Change change{expert, other, back, true, 0, moved};
+        change.squares = square(m_loads[busiest] - moved) - square(m_loads[busiest]) + square(m_loads[other] + moved) - square(m_loads[other]);
+        return change;
+    }
+
+    void consider(std::optional<Change> change, std::optional<Change> &best) const
+    {
+        if (change && change->squares < 0 && change->relief > 0 && (!best || change->squares < best->squares)) {
+            best = change;
+        }
+    }
+
+    std::optional<Change> best(std::size_t busiest) const
+    {
+        std::optional<Change> best;
+        for (const ExpertId expert : m_ranks[busiest]) {
+            for (std::size_t other = 0; other < m_ranks.size(); ++other) {
+                if (other == busiest || m_loads[other] >= m_loads[busiest] || !mayAdd(other, expert)) {
+                    continue;
+                }
+                if (m_ranks[other].size() < m_options.placements) {
+                    consider(replica(busiest, expert, other, std::nullopt), best);
+                }
+                for (const ExpertId there : m_ranks[other]) {
+                    if (m_holders[there] > 1 && m_ranks[other].size() >= m_options.placements) {
+                        consider(replica(busiest, expert, other, there), best);
+                    }
+                    consider(exchange(busiest, expert, other, there), best);
+                }
+            }
+        }
+        return best;
+    }
+
+    void add(std::size_t rank, ExpertId expert)
+    {
+        m_added[rank] += isNew(rank, expert) ? 1 : 0;
+        m_ranks[rank].push_back(expert);
+        ++m_holders[expert];
+    }
+
+    void remove(std::size_t rank, ExpertId expert)
+    {
+        m_added[rank] -= isNew(rank, expert) ? 1 : 0;
+        std::erase(m_ranks[rank], expert);
+        --m_holders[expert];
+    }
+
+    void apply(std::size_t busiest, const Change &change)
+    {
+        if (change.evicted) {
+            remove(change.other, *change.evicted);
+        }
+        add(change.other, change.expert);
+        if (change.exchange) {
+            remove(busiest, change.expert);
+            add(busiest, *change.evicted);
+        }
+        recompute();
+    }
+
+    void recompute()
+    {
+        m_loads.assign(m_ranks.size(), 0);
+        for (std::size_t rank = 0; rank < m_ranks.size(); ++rank) {
+            for (const ExpertId expert : m_ranks[rank]) {
+                m_loads[rank] += share(expert);
+            }
+        }
+    }
+
+    const RankExperts m_before;
+    RankExperts m_ranks;
+    const std::vector<double> &m_load;
+    const ExpertPlanOptions &m_options;
+    std::vector<unsigned> m_holders; ///< ranks that hold an expert
+    std::vector<unsigned> m_added; ///< new experts, by rank
+    std::vector<double> m_loads; ///< by rank
+    mutable std::vector<double> m_delta; ///< kept to save allocations
+};
+
+} // namespace
+
+double setImbalance(const std::vector<std::vector<ExpertId>> &ranks, const std::vector<double> &load)
+{
+    std::vector<unsigned> holders(load.size(), 0);
+    for (const auto &experts : ranks) {
+        for (const ExpertId expert : experts) {
+            ++holders[expert];
+        }
+    }
+    double most = 0;
+    double total = 0;
+    for (const auto &experts : ranks) {
+        double own = 0;
+        for (const ExpertId expert : experts) {
+            own += load[expert] / holders[expert];
+        }
+        most = std::max(most, own);
+        total += own;
+    }
+    return total > 0 ? most * static_cast<double>(ranks.size()) / total : 1;
+}
+
+ExpertPlan planExperts(const GroupMap &current, const std::vector<std::vector<double>> &load, const ExpertPlanOptions &options)
+{
+    ExpertPlan plan;
+    plan.before = 0;
+    plan.after = 0;
+    std::vector<unsigned> copies;
+    for (std::size_t set = 0; set < current.size(); ++set) {
+        SetSearch search(current[set], load[set], options);
+        search.improve();
+        copies.resize(current[set].size(), 0);
+        for (std::size_t rank = 0; rank < current[set].size(); ++rank) {
+            for (const ExpertId expert : search.ranks()[rank]) {
+                copies[rank] += contains(current[set][rank], expert) ? 0 : 1;
+            }
+        }
+        plan.before += setImbalance(current[set], load[set]) / static_cast<double>(current.size());
+        plan.after += setImbalance(search.ranks(), load[set]) / static_cast<double>(current.size());
+        plan.map.push_back(search.ranks());
+    }
+    plan.copies = std::accumulate(copies.begin(), copies.end(), 0U);
+    plan.mostCopies = copies.empty() ? 0 : *std::ranges::max_element(copies);
+    return plan;
+}
+
+} // namespace fulmarlink
--- /dev/null
+++ b/fulmarlink/expertplanner.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <vector>
+
+#include "fulmarlink/rankorders.h"
+
+namespace fulmarlink
+{
+
+struct ExpertPlanOptions {
+    unsigned placements = 0; ///< experts that a rank may hold of a set
+    unsigned newPerSwitch = 0; ///< experts new to a rank, of a set
+    /** A change must take away this share of the busiest rank's excess over the mean; smaller ones cost more copying than they save. */
+    double leastGain = 0.04;
+    unsigned maxChanges = 64; ///< of a set; bounds the search
+};
+
+/** What a plan changes. */
+struct ExpertPlan {
+    GroupMap map;
+    double before = 1; ///< busiest rank over mean, averaged over the sets, of the current map
+    double after = 1; ///< of the planned one
+    unsigned copies = 0; ///< experts that ranks must copy
+    unsigned mostCopies = 0; ///< of one rank, over all sets; they are copied one after the other
+};
+
+/** Busiest rank over mean rank of one set; 1 is perfect. */
+double setImbalance(const std::vector<std::vector<ExpertId>> &ranks, const std::vector<double> &load);
+
+/**
+ * Improves the map of a group for the given loads (by set, by expert).
+ *
+ * Set by set, the busiest rank is relieved by the change that lowers the sum of the
+ * squared rank loads most: a further replica elsewhere (in a free place, or in that of an
+ * expert that is held twice), or an exchange with an expert of a less loaded rank. It
+ * ends when no change is worth its copying, or when every rank has taken as many new
+ * experts as one switch allows.
+ *
+ * Contract: every expert stays on at least one rank; no rank holds an expert twice, more
+ * than @p placements, or more than newPerSwitch that it did not hold. Pure.
+ * O(changes x placements^2 x ranks) a set.
+ */
+ExpertPlan planExperts(const GroupMap &current, const std::vector<std::vector<double>> &load, const ExpertPlanOptions &options);
+
+} // namespace fulmarlink
--- a/fulmarlink/gateway.cpp
+++ b/fulmarlink/gateway.cpp
@@ -8,6 +8,7 @@
 #include "fulmarlink/callerprotocol.h"
 #include "fulmarlink/httpserver.h"
 #include "fulmarlink/log.h"
+#include "fulmarlink/mapkeeper.h"
 #include "fulmarlink/platform.h"
 #include "fulmarlink/resultcode.h"
 
@@ -175,6 +176,9 @@
                            {"customers", std::to_string(taken.customers.size())},
                            {"read_ms", std::to_string((m_clock.now() - read.began).count() / 1000)}});
             }
+            if (m_state.config.active()) {
+                keepMaps();
+            }
             if (offered >= m_state.config.version()) {
                 m_state.config.confirm(read.began);
             } else {
@@ -186,6 +190,18 @@
     }
 }
 
+void Gateway::keepMaps()
+{
+    for (const ServiceSpec &service : m_state.config.active()->configuration.services) {
+        if (!service.engine || service.engine->layerSets == 0 || m_mapKeepers.contains(service.name)) {
+            continue;
+        }
+        const auto keeper = std::make_shared<MapKeeper>(m_context, m_state, *m_edges.platform, service.name);
+        m_mapKeepers.emplace(service.name, keeper);
+        asio::co_spawn(m_context, keeper->run(), asio::detached);
+    }
+}
+
 void Gateway::noteTargets(const TargetsRead &read)
 {
     if (read.changed) {
--- a/fulmarlink/gateway.h
+++ b/fulmarlink/gateway.h
@@ -3,7 +3,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <map>
 #include <memory>
+#include <string>
 
 #include "fulmarlink/counters.h"
 #include "fulmarlink/gatewayserver.h"
@@ -16,6 +18,7 @@
 
 class CallerProtocol;
 class HttpServer;
+class MapKeeper;
 class Platform;
 
 /** The edges of a gateway that differ from platform to platform. */
@@ -56,6 +59,8 @@
     boost::asio::awaitable<void> entriesLoop();
     boost::asio::awaitable<void> housekeeping();
     boost::asio::awaitable<void> sleep(Duration duration);
+    /** Begins to keep the maps of pools that are new in the configuration and have experts. */
+    void keepMaps();
     void noteStore(bool reachable, const std::string &call, const std::string &error);
     void noteTargets(const struct TargetsRead &read);
     Duration jittered(Duration duration);
@@ -70,6 +75,7 @@
     GatewayServer m_server;
     std::shared_ptr<HttpServer> m_readiness;
     std::shared_ptr<HttpServer> m_metrics;
+    std::map<std::string, std::shared_ptr<MapKeeper>> m_mapKeepers; ///< by pool
     Counters::Id m_configVersion;
     Counters::Id m_proofAge;
     Counters::Id m_requestsNow;
--- /dev/null
+++ b/fulmarlink/groupswitch.cpp
@@ -0,0 +1,284 @@
+// Why no pass begins with two maps. A rank changes its map only as the pass P begins for
+// which it is armed. Arm orders for (V, P) are sent only after every rank has prepared V
+// and while one rank holds P; go for P is sent only after every rank has said that it is
+// armed for (V, P). So when P begins, all ranks change to V. Late orders: an arm or a hold
+// for P is refused once P has begun, and until then repeats what already holds; a go for P
+// finds no hold, since P is held once; a prepare of an older version than the rank has had
+// is refused. V is unique to a term, so it names one content. An owner that takes over and
+// finds P held arms the version that all have prepared, as its predecessor would have: an
+// arm that the predecessor still sends says the same. It never lets go while an arm may be
+// under way for some ranks only. A rank that is lost ends the epoch, and with it all that
+// was prepared, armed or held.
+
+#include "fulmarlink/groupswitch.h"
+
+#include <algorithm>
+
+namespace fulmarlink
+{
+
+std::string_view switchPhaseName(SwitchPhase phase)
+{
+    switch (phase) {
+    case SwitchPhase::Idle:
+        return "idle";
+    case SwitchPhase::Prepare:
+        return "prepare";
+    case SwitchPhase::Hold:
+        return "hold";
+    case SwitchPhase::Arm:
+        return "arm";
+    case SwitchPhase::Go:
+        return "go";
+    }
+    return "";
+}
+
+bool groupSettled(const std::vector<RankReport> &reports)
+{
+    return !reports.empty() && std::ranges::all_of(reports, [&](const RankReport &report) {
+        const RankReport &first = reports.front();
+        return report.open && report.epoch == first.epoch && report.map == first.map && report.armed == 0 && !report.heldPass;
+    });
+}
+
+void GroupSwitch::begin(unsigned ranks, std::uint64_t epoch, std::uint64_t version, GroupMap map)
+{
+    m_ranks.assign(ranks, Rank());
+    m_epoch = epoch;
+    m_version = version;
+    m_map = std::move(map);
+    m_holder = 0;
+    m_pass = 0;
+    enter(SwitchPhase::Prepare);
+}
+
+bool GroupSwitch::recover(const std::vector<RankReport> &reports)
+{
+    m_phase = SwitchPhase::Idle;
+    const auto held = std::ranges::find_if(reports, [](const RankReport &report) {
+        return report.heldPass.has_value();
+    });
+    const auto armed = std::ranges::find_if(reports, [](const RankReport &report) {
+        return report.armed != 0;
+    });
+    const auto armedRanks = std::ranges::count_if(reports, [](const RankReport &report) {
+        return report.armed != 0;
+    });
+    const bool isHeld = held != reports.end();
+    if (!isHeld && (armedRanks == 0 || armedRanks == static_cast<std::ptrdiff_t>(reports.size()))) {
+        return false;
+    }
+    m_ranks.assign(reports.size(), Rank());
+    m_epoch = reports.front().epoch;
+    m_version = armed != reports.end() ? armed->armed : reports.front().prepared;
+    m_pass = isHeld ? *held->heldPass : armed->armedPass;
+    m_holder = isHeld ? static_cast<unsigned>(held - reports.begin()) : 0;
+    const bool prepared = m_version != 0 && std::ranges::all_of(reports, [&](const RankReport &report) {
+                              return report.prepared == m_version || report.armed == m_version || report.map == m_version;
+                          });
+    if (!isHeld) {
+        enter(SwitchPhase::Hold); // the pass must not begin before every rank is armed
+    } else {
+        enter(prepared ? SwitchPhase::Arm : SwitchPhase::Go);
+    }
+    observe(reports);
+    return m_phase != SwitchPhase::Idle;
+}
+
+void GroupSwitch::holdAt(std::uint64_t pass)
+{
+    m_pass = pass;
+    m_needsPass = false;
+    m_ranks[m_holder].stuck = false;
+}
+
+void GroupSwitch::enter(SwitchPhase phase)
+{
+    m_phase = phase;
+    m_needsPass = phase == SwitchPhase::Hold && m_pass == 0;
+    for (Rank &rank : m_ranks) {
+        rank.done = false;
+        rank.stuck = false;
+        rank.accepted = false;
+    }
+}
+
+bool GroupSwitch::takesPart(unsigned rank) const
+{
+    return (m_phase != SwitchPhase::Hold && m_phase != SwitchPhase::Go) || rank == m_holder;
+}
+
+RankOrder GroupSwitch::orderFor() const
+{
+    RankOrder order;
+    order.epoch = m_epoch;
+    order.version = m_version;
+    order.pass = m_pass;
+    switch (m_phase) {
+    case SwitchPhase::Idle:
+        break;
+    case SwitchPhase::Prepare:
+        order.kind = RankOrderKind::Prepare;
+        order.map = m_map;
+        break;
+    case SwitchPhase::Hold:
+        order.kind = RankOrderKind::Hold;
+        break;
+    case SwitchPhase::Arm:
+        order.kind = RankOrderKind::Arm;
+        break;
+    case SwitchPhase::Go:
+        order.kind = RankOrderKind::Go;
+        break;
+    }
+    return order;
+}
+
+std::vector<AddressedOrder> GroupSwitch::orders() const
+{
+    std::vector<AddressedOrder> result;
+    if (m_phase == SwitchPhase::Idle || m_needsPass) {
+        return result;
+    }
+    const RankOrder order = orderFor();
+    for (unsigned rank = 0; rank < m_ranks.size(); ++rank) {
+        const Rank &state = m_ranks[rank];
+        if (state.done || state.stuck || !takesPart(rank)) {
+            continue;
+        }
+        result.push_back({rank, order});
+    }
+    return result;
+}
+
+void GroupSwitch::result(unsigned rank, OrderResult result)
+{
+    Rank &state = m_ranks[rank];
+    switch (result) {
+    case OrderResult::Accepted:
+        state.accepted = true;
+        state.done = m_phase != SwitchPhase::Prepare;
+        state.stuck = m_phase == SwitchPhase::Prepare; // the copy takes time; the report tells when it is there
+        break;
+    case OrderResult::Unknown:
+        break; // sent again
+    case OrderResult::Refused:
+        state.stuck = true;
+        m_needsPass = m_phase == SwitchPhase::Hold;
+        break;
+    }
+    advance();
+}
+
+void GroupSwitch::observeRank(Rank &rank, const RankReport &report)
+{
+    rank.stuck = false;
+    switch (m_phase) {
+    case SwitchPhase::Idle:
+        break;
+    case SwitchPhase::Prepare:
+        rank.done = report.prepared == m_version;
+        rank.stuck = !rank.done && rank.accepted;
+        break;
+    case SwitchPhase::Hold:
+        rank.done = report.heldPass == m_pass;
+        break;
+    case SwitchPhase::Arm:
+        rank.done = (report.armed == m_version && report.armedPass == m_pass) || report.map == m_version;
+        break;
+    case SwitchPhase::Go:
+        rank.done = !report.heldPass;
+        break;
+    }
+}
+
+void GroupSwitch::observe(const std::vector<RankReport> &reports)
+{
+    if (m_phase == SwitchPhase::Idle) {
+        return;
+    }
+    const bool sameGroup = reports.size() == m_ranks.size() && std::ranges::all_of(reports, [&](const RankReport &report) {
+                               return report.epoch == m_epoch;
+                           });
+    const bool disturbed = m_phase == SwitchPhase::Prepare && std::ranges::any_of(reports, [](const RankReport &report) {
+                               return report.armed != 0 || report.heldPass;
+                           });
+    if (!sameGroup || disturbed) {
+        m_phase = SwitchPhase::Idle;
+        return;
+    }
+    if (m_phase == SwitchPhase::Hold && reports[m_holder].heldPass) {
+        m_pass = *reports[m_holder].heldPass; // an earlier hold was carried out after all; a rank has one at a time
+        m_needsPass = false;
+    }
+    for (unsigned rank = 0; rank < m_ranks.size(); ++rank) {
+        observeRank(m_ranks[rank], reports[rank]);
+    }
+    advance();
+}
+
+bool GroupSwitch::allDone() const
+{
+    for (unsigned rank = 0; rank < m_ranks.size(); ++rank) {
+        if (takesPart(rank) && !m_ranks[rank].done) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void GroupSwitch::advance()
+{
+    if (!allDone()) {
+        return;
+    }
+    switch (m_phase) {
+    case SwitchPhase::Idle:
+        break;
+    case SwitchPhase::Prepare:
+        enter(SwitchPhase::Hold);
+        break;
+    case SwitchPhase::Hold:
+        enter(SwitchPhase::Arm);
+        break;
+    case SwitchPhase::Arm:
+        enter(SwitchPhase::Go);
+        break;
+    case SwitchPhase::Go:
+        m_phase = SwitchPhase::Idle;
+        break;
+    }
+}
+
+SwitchPhase GroupSwitch::phase() const
+{
+    return m_phase;
+}
+
+bool GroupSwitch::needsReports() const
+{
+    return m_phase != SwitchPhase::Idle && !m_needsPass && orders().empty();
+}
+
+bool GroupSwitch::needsPass() const
+{
+    return m_needsPass;
+}
+
+std::uint64_t GroupSwitch::version() const
+{
+    return m_version;
+}
+
+std::uint64_t GroupSwitch::pass() const
+{
+    return m_pass;
+}
+
+unsigned GroupSwitch::done() const
+{
+    return static_cast<unsigned>(std::ranges::count_if(m_ranks, &Rank::done));
+}
+
+} // namespace fulmarlink
--- /dev/null
+++ b/fulmarlink/leasekeeper.cpp
@@ -0,0 +1,96 @@
+#include "fulmarlink/leasekeeper.h"
+
+#include "fulmarlink/resultcode.h"
+
+namespace fulmarlink
+{
+
+namespace
+{
+
+constexpr Duration kReadInterval = std::chrono::milliseconds(1500); ///< of those that wait for the lease
+
+} // namespace
+
+LeaseKeeper::LeaseKeeper(LeaseOptions options)
+    : m_options(std::move(options))
+{
+}
+
+LeaseKeeper::Step LeaseKeeper::step(TimePoint now) const
+{
+    if (!m_known) {
+        return Step::Read;
+    }
+    if (m_holding) {
+        return now - m_renewed >= m_options.renewAfter ? Step::Write : Step::Wait;
+    }
+    const bool free = m_seen.revision == 0 || m_seen.holder.empty() || m_seen.holder == m_options.self;
+    if (free || now - m_seenChanged >= m_options.takeAfter) {
+        return Step::Write;
+    }
+    return now - m_lastRead >= kReadInterval ? Step::Read : Step::Wait;
+}
+
+LeaseRecord LeaseKeeper::toWrite() const
+{
+    LeaseRecord record = m_seen;
+    record.holder = m_options.self;
+    ++record.renewals;
+    return record;
+}
+
+LeaseRecord LeaseKeeper::released() const
+{
+    LeaseRecord record = m_seen;
+    record.holder.clear();
+    ++record.renewals;
+    return record;
+}
+
+void LeaseKeeper::readDone(const LeaseRead &read, TimePoint now)
+{
+    m_lastRead = now;
+    if (read.error) {
+        return;
+    }
+    if (!m_known || read.record.revision != m_seen.revision) {
+        m_seenChanged = now;
+    }
+    m_known = true;
+    m_seen = read.record;
+    m_holding = m_holding && read.record.holder == m_options.self;
+}
+
+void LeaseKeeper::writeDone(const LeaseRead &written, TimePoint began, TimePoint now)
+{
+    if (written.error) {
+        m_known = false; // what the store holds must be read again: the write may have taken effect
+        m_holding = m_holding && written.error != ResultCode::VersionConflict;
+        return;
+    }
+    if (!m_holding) {
+        m_term = written.record.revision;
+    }
+    m_holding = true;
+    m_seen = written.record;
+    m_seenChanged = now;
+    m_renewed = began;
+}
+
+bool LeaseKeeper::holds(TimePoint now) const
+{
+    return m_holding && now - m_renewed < m_options.term;
+}
+
+std::uint64_t LeaseKeeper::termId() const
+{
+    return m_term;
+}
+
+const LeaseRecord &LeaseKeeper::record() const
+{
+    return m_seen;
+}
+
+} // namespace fulmarlink
--- /dev/null
+++ b/fulmarlink/leasekeeper.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <string>
+
+#include "fulmarlink/clock.h"
+#include "fulmarlink/platform.h"
+
+namespace fulmarlink
+{
+
+struct LeaseOptions {
+    std::string self;
+    Duration term = std::chrono::milliseconds(4000); ///< a holder may act for so long after the beginning of its last renewal
+    Duration renewAfter = std::chrono::milliseconds(1600); ///< leaves room for one renewal that is lost
+    Duration takeAfter = std::chrono::milliseconds(5000); ///< the others wait for so long without a renewal; longer than the term by the drift of any clock
+};
+
+/**
+ * Decides when to renew, take or leave a lease that is kept by conditional writes.
+ *
+ * The holder's right ends by its own clock before anybody else may take the lease. A
+ * paused holder can still send one order after it wakes: what it holds the lease for must
+ * bear that.
+ *
+ * Contract: pure; not thread-safe.
+ */
+class LeaseKeeper
+{
+public:
+    enum class Step : std::uint8_t {
+        Wait,
+        Write, ///< write the record that toWrite() gives
+        Read,
+    };
+
+    explicit LeaseKeeper(LeaseOptions options);
+
+    Step step(TimePoint now) const;
+    LeaseRecord toWrite() const;
+    void readDone(const LeaseRead &read, TimePoint now);
+    /** @p began is when the write was sent. */
+    void writeDone(const LeaseRead &written, TimePoint began, TimePoint now);
+    /** What to write so that others may take over at once. */
+    LeaseRecord released() const;
+
+    bool holds(TimePoint now) const;
+    /** Unique to this term of holding; rises from holder to holder. */
+    std::uint64_t termId() const;
+    const LeaseRecord &record() const;
+
+private:
+    LeaseOptions m_options;
+    LeaseRecord m_seen; ///< the newest record known
+    TimePoint m_seenChanged{}; ///< when it was first seen
+    bool m_known = false; ///< m_seen is from a read
+    bool m_holding = false;
+    std::uint64_t m_term = 0;
+    TimePoint m_renewed{}; ///< beginning of the last renewal that was confirmed
+    TimePoint m_lastRead{};
+};
+
+} // namespace fulmarlink
--- /dev/null
+++ b/fulmarlink/mapkeeper.cpp
@@ -0,0 +1,478 @@
+// A leader's round: read the counts of some ranks; if the map that the planner finds for
+// them is worth it, read all reports, and drive the switch. Reports are the expensive
+// and old part, so they are read only before a switch, while it copies, and when the
+// group seems to stand still.
+
+#include "fulmarlink/mapkeeper.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cmath>
+
+#include "fulmarlink/log.h"
+
+namespace fulmarlink
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr Duration kRound = std::chrono::milliseconds(600); ///< between two reads of counts; demand turns every two to four seconds
+constexpr Duration kFollowerRound = std::chrono::milliseconds(250);
+constexpr Duration kStandstill = std::chrono::milliseconds(700); ///< longer than any pass, shorter than callers' patience
+constexpr Duration kReportMargin = std::chrono::milliseconds(80); ///< beyond the reports' stated lag
+constexpr Duration kFreshReports = std::chrono::milliseconds(40); ///< a pass chosen from reports read this long ago is still ahead
+constexpr Duration kPollPrepared = std::chrono::milliseconds(120); ///< when a copy takes longer than it should
+constexpr Duration kHoldMargin = std::chrono::milliseconds(120); ///< for the hold and all arms to arrive before the held pass is reached
+constexpr Duration kShortestPass = std::chrono::milliseconds(18); ///< of a group that has work
+constexpr Duration kLongestPrepare = std::chrono::seconds(4); ///< a copy that takes longer is given up; it does no harm
+constexpr double kLeastImprovement
+    = 0.1; ///< of the busiest rank's load over the mean; below it a switch costs more in orders and copies than the shorter passes bring
+constexpr double kLeastChoices = 2000; ///< in the counts of a round, so that noise moves nothing
+constexpr unsigned kSampledRanks = 6; ///< of a group; requests spread evenly, so these stand for all
+constexpr std::uint64_t kVersionsOfTerm = 4096;
+constexpr double kCopyMargin = 1.15;
+constexpr double kMegabitsPerMegabyte = 8;
+
+std::string fixed(double value)
+{
+    return std::to_string(std::round(value * 100) / 100).substr(0, 5);
+}
+
+} // namespace
+
+/** Parallel calls: each takes one from open; the last wakes the waiter. */
+struct MapKeeper::Gather {
+    Gather(asio::io_context &context, unsigned count)
+        : timer(context, asio::steady_timer::time_point::max())
+        , open(count)
+    {
+    }
+
+    void finishOne()
+    {
+        if (--open == 0) {
+            timer.cancel();
+        }
+    }
+
+    asio::steady_timer timer;
+    unsigned open;
+    std::vector<TargetInfo> targets;
+    std::vector<RankReportRead> reports;
+    std::vector<RankPlacementRead> placements;
+    std::vector<ExpertCountsRead> counts;
+    std::vector<std::pair<unsigned, OrderResult>> results;
+};
+
+MapKeeper::MapKeeper(asio::io_context &context, GatewayState &state, Platform &platform, std::string pool)
+    : m_context(context)
+    , m_state(state)
+    , m_platform(platform)
+    , m_pool(std::move(pool))
+    , m_lease(LeaseOptions{.self = state.settings.host})
+    , m_switchesDone(state.counters.registerCounter("fulmarlink_map_switches_total"))
+    , m_switchesGivenUp(state.counters.registerCounter("fulmarlink_map_switches_given_up_total"))
+    , m_copies(state.counters.registerCounter("fulmarlink_expert_copies_total"))
+    , m_recoveries(state.counters.registerCounter("fulmarlink_map_recoveries_total"))
+    , m_leader(state.counters.registerCounter("fulmarlink_map_leader"))
+{
+}
+
+void MapKeeper::stop()
+{
+    m_stopped = true;
+}
+
+asio::awaitable<void> MapKeeper::sleep(Duration duration)
+{
+    boost::system::error_code ignored; // the timer is not cancelled
+    asio::steady_timer timer(m_context, duration);
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+asio::awaitable<void> MapKeeper::waitFor(std::shared_ptr<Gather> gather)
+{
+    boost::system::error_code ignored; // cancelled when the last call has ended
+    if (gather->open > 0) {
+        co_await gather->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+std::optional<EngineSpec> MapKeeper::engine() const
+{
+    const auto active = m_state.config.active();
+    const ServiceSpec *service = active ? active->configuration.service(m_pool) : nullptr;
+    return service != nullptr && service->engine && service->engine->layerSets > 0 ? service->engine : std::nullopt;
+}
+
+/** Streams are under way here, and none of them has moved for long. */
+bool MapKeeper::standsStill() const
+{
+    const auto it = m_state.pools.find(m_pool);
+    if (it == m_state.pools.end() || m_state.targets.ownRequests(m_pool) == 0) {
+        return false;
+    }
+    return m_state.clock.now() - it->second.gate.lastAnswer() > kStandstill && it->second.gate.lastAnswer() != TimePoint{};
+}
+
+asio::awaitable<void> MapKeeper::keepLease()
+{
+    const LeaseKeeper::Step step = m_lease.step(m_state.clock.now());
+    if (step == LeaseKeeper::Step::Read) {
+        const LeaseRead read = co_await m_platform.readLease(m_pool);
+        m_lease.readDone(read, m_state.clock.now());
+    } else if (step == LeaseKeeper::Step::Write) {
+        const TimePoint began = m_state.clock.now();
+        const LeaseRead written = co_await m_platform.writeLease(m_pool, m_lease.toWrite());
+        m_lease.writeDone(written, began, m_state.clock.now());
+    }
+    const bool leader = m_lease.holds(m_state.clock.now());
+    if (leader != m_wasLeader) {
+        m_wasLeader = leader;
+        m_state.counters.set(m_leader, leader ? 1 : 0);
+        logChange(leader ? "lease-taken" : "lease-lost",
+                  {{"pool", m_pool},
+                   {"term", std::to_string(m_lease.termId())},
+                   {"holder", m_lease.record().holder},
+                   {"renewals", std::to_string(m_lease.record().renewals)}});
+        m_mapKnown = false;
+        m_load.clear();
+        m_switches = 0;
+        if (leader) {
+            co_await recover();
+        }
+    }
+}
+
+asio::awaitable<void> MapKeeper::run()
+{
+    while (!m_stopped && !m_state.draining) {
+        const bool leader = m_lease.holds(m_state.clock.now());
+        co_await sleep(leader ? kRound : kFollowerRound);
+        if (!engine() || m_state.targets.listed(m_pool).empty()) {
+            continue;
+        }
+        co_await keepLease();
+        if (!m_lease.holds(m_state.clock.now())) {
+            continue;
+        }
+        if (standsStill()) {
+            co_await recover();
+        } else {
+            co_await leaderRound();
+        }
+    }
+    if (m_lease.holds(m_state.clock.now())) {
+        co_await m_platform.writeLease(m_pool, m_lease.released());
+        logChange("lease-released", {{"pool", m_pool}});
+    }
+}
+
+asio::awaitable<void> MapKeeper::reportOne(unsigned index, std::shared_ptr<Gather> gather)
+{
+    gather->reports[index] = co_await m_platform.readRankReport(gather->targets[index]);
+    gather->finishOne();
+}
+
+asio::awaitable<bool> MapKeeper::readReports()
+{
+    const std::vector<TargetInfo> targets = m_state.targets.listed(m_pool);
+    auto gather = std::make_shared<Gather>(m_context, static_cast<unsigned>(targets.size()));
+    gather->targets = targets;
+    gather->reports.resize(targets.size());
+    for (unsigned i = 0; i < targets.size(); ++i) {
+        asio::co_spawn(m_context, reportOne(i, gather), asio::detached);
+    }
+    co_await waitFor(gather);
+    std::vector<std::pair<unsigned, unsigned>> order; // rank, index
+    unsigned size = 0;
+    for (unsigned i = 0; i < gather->reports.size(); ++i) {
+        if (gather->reports[i].error) {
+            continue;
+        }
+        order.emplace_back(gather->reports[i].report.rank, i);
+        size = std::max(size, gather->reports[i].report.size);
+    }
+    std::ranges::sort(order);
+    const bool complete = size > 0 && order.size() == size;
+    if (!complete) {
+        logChange("reports-incomplete",
+                  {{"pool", m_pool}, {"asked", std::to_string(targets.size())}, {"got", std::to_string(order.size())}, {"ranks", std::to_string(size)}});
+        co_return false;
+    }
+    m_earlierPass = m_reports.empty() ? 0 : m_reports.front().pass;
+    m_earlierAt = m_reportsAt;
+    m_ranks.clear();
+    m_reports.clear();
+    for (const auto &[rank, index] : order) {
+        m_ranks.push_back(gather->targets[index]);
+        m_reports.push_back(gather->reports[index].report);
+    }
+    m_reportsAt = m_state.clock.now();
+    co_return true;
+}
+
+asio::awaitable<void> MapKeeper::placementOne(unsigned index, std::shared_ptr<Gather> gather)
+{
+    gather->placements[index] = co_await m_platform.readRankPlacement(gather->targets[index]);
+    gather->finishOne();
+}
+
+asio::awaitable<bool> MapKeeper::readPlacements()
+{
+    auto gather = std::make_shared<Gather>(m_context, static_cast<unsigned>(m_ranks.size()));
+    gather->targets = m_ranks;
+    gather->placements.resize(m_ranks.size());
+    for (unsigned i = 0; i < m_ranks.size(); ++i) {
+        asio::co_spawn(m_context, placementOne(i, gather), asio::detached);
+    }
+    co_await waitFor(gather);
+    const std::size_t sets = engine()->layerSets;
+    const std::uint64_t version = gather->placements.front().version;
+    GroupMap map(sets, std::vector<std::vector<ExpertId>>(m_ranks.size()));
+    for (unsigned rank = 0; rank < gather->placements.size(); ++rank) {
+        const RankPlacementRead &read = gather->placements[rank];
+        if (read.error || read.version != version || read.experts.size() != sets) {
+            logChange("placements-incomplete",
+                      {{"pool", m_pool}, {"rank", std::to_string(rank)}, {"error", read.error.message()}, {"version", std::to_string(read.version)}});
+            co_return false;
+        }
+        for (std::size_t set = 0; set < sets; ++set) {
+            map[set][rank] = read.experts[set];
+        }
+    }
+    m_map = std::move(map);
+    m_knownVersion = version;
+    m_knownEpoch = m_reports.front().epoch;
+    m_mapKnown = true;
+    logChange("map-read",
+              {{"pool", m_pool},
+               {"map", std::to_string(version)},
+               {"epoch", std::to_string(m_knownEpoch)},
+               {"ranks", std::to_string(m_ranks.size())},
+               {"report", m_reports.front().raw}});
+    co_return true;
+}
+
+asio::awaitable<void> MapKeeper::countsOne(unsigned index, std::shared_ptr<Gather> gather)
+{
+    gather->counts[index] = co_await m_platform.readExpertCounts(gather->targets[index], engine()->layerSets);
+    gather->finishOne();
+}
+
+asio::awaitable<void> MapKeeper::readCounts()
+{
+    auto gather = std::make_shared<Gather>(m_context, 0);
+    const std::size_t sampled = std::min<std::size_t>(kSampledRanks, m_ranks.size());
+    for (std::size_t i = 0; i < sampled; ++i) {
+        gather->targets.push_back(m_ranks[i * m_ranks.size() / sampled]);
+    }
+    gather->open = static_cast<unsigned>(sampled);
+    gather->counts.resize(sampled);
+    for (unsigned i = 0; i < sampled; ++i) {
+        asio::co_spawn(m_context, countsOne(i, gather), asio::detached);
+    }
+    co_await waitFor(gather);
+    for (unsigned i = 0; i < sampled; ++i) {
+        const ExpertCountsRead &read = gather->counts[i];
+        if (read.error) {
+            logChange("counts-missing", {{"pool", m_pool}, {"target", gather->targets[i].id}, {"error", read.error.message()}});
+            continue;
+        }
+        if (read.epoch != m_knownEpoch) {
+            m_mapKnown = false;
+        }
+        m_load.add(gather->targets[i].id, read);
+    }
+}
+
+asio::awaitable<void> MapKeeper::leaderRound()
+{
+    if (!m_mapKnown) {
+        const bool complete = co_await readReports();
+        if (!complete || !groupSettled(m_reports)) {
+            co_return;
+        }
+        const bool known = co_await readPlacements();
+        if (!known) {
+            co_return;
+        }
+    }
+    co_await readCounts();
+    logChange("counts-read", {{"pool", m_pool}, {"map", std::to_string(m_knownVersion)}, {"choices", std::to_string(m_load.gathered())}});
+    if (!m_mapKnown || m_load.gathered() < kLeastChoices) {
+        co_return;
+    }
+    const auto load = m_load.take();
+    const EngineSpec spec = *engine();
+    ExpertPlanOptions options;
+    options.placements = spec.placements;
+    options.newPerSwitch = spec.newPerSwitch;
+    if (load.size() != m_map.size() || load.front().size() != spec.experts) {
+        co_return;
+    }
+    ExpertPlan plan = planExperts(m_map, load, options);
+    logChange("map-planned",
+              {{"pool", m_pool},
+               {"map", std::to_string(m_knownVersion)},
+               {"before", fixed(plan.before)},
+               {"after", fixed(plan.after)},
+               {"copies", std::to_string(plan.copies)}});
+    if (plan.before - plan.after >= kLeastImprovement) {
+        co_await change(std::move(plan));
+    }
+}
+
+asio::awaitable<void> MapKeeper::recover()
+{
+    const Duration lag = engine()->reportLag + kReportMargin;
+    co_await sleep(std::max(Duration(0), m_lastOrder + lag - m_state.clock.now()));
+    const bool complete = co_await readReports();
+    if (!complete || !m_switch.recover(m_reports)) {
+        co_return;
+    }
+    m_state.counters.add(m_recoveries);
+    logWarning("switch-taken-over",
+               {{"pool", m_pool},
+                {"phase", switchPhaseName(m_switch.phase())},
+                {"map", std::to_string(m_switch.version())},
+                {"pass", std::to_string(m_switch.pass())},
+                {"reports", m_reports.front().raw}});
+    m_mapKnown = false;
+    co_await drive(Duration(0));
+}
+
+asio::awaitable<void> MapKeeper::change(ExpertPlan plan)
+{
+    const EngineSpec spec = *engine();
+    const std::uint64_t version = m_lease.termId() * kVersionsOfTerm + ++m_switches;
+    const double copySeconds = plan.mostCopies * spec.expertMb * kMegabitsPerMegabyte / std::max(1.0, spec.linkMbps);
+    const auto copyTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(copySeconds * kCopyMargin));
+    const TimePoint began = m_state.clock.now();
+    m_switch.begin(static_cast<unsigned>(m_ranks.size()), m_knownEpoch, version, plan.map);
+    m_mapKnown = false;
+    co_await drive(copyTime);
+    const bool done = m_switch.phase() == SwitchPhase::Idle && m_switch.done() > 0;
+    m_state.counters.add(done ? m_switchesDone : m_switchesGivenUp);
+    m_state.counters.add(m_copies, plan.copies);
+    logChange("map-switch",
+              {{"pool", m_pool},
+               {"map", std::to_string(version)},
+               {"done", done ? "true" : "false"},
+               {"phase", switchPhaseName(m_switch.phase())},
+               {"before", fixed(plan.before)},
+               {"after", fixed(plan.after)},
+               {"copies", std::to_string(plan.copies)},
+               {"pass", std::to_string(m_switch.pass())},
+               {"copy_ms", std::to_string(copyTime.count() / 1000)},
+               {"ms", std::to_string((m_state.clock.now() - began).count() / 1000)}});
+    if (done) {
+        m_map = std::move(plan.map);
+        m_knownVersion = version;
+        m_mapKnown = true;
+    }
+}
+
+asio::awaitable<void> MapKeeper::sendOne(unsigned rank, RankOrder order, std::shared_ptr<Gather> gather)
+{
+    const OrderResult result = co_await m_platform.order(m_ranks[rank], std::move(order));
+    gather->results.emplace_back(rank, result);
+    gather->finishOne();
+}
+
+asio::awaitable<void> MapKeeper::sendOrders(std::vector<AddressedOrder> orders)
+{
+    auto gather = std::make_shared<Gather>(m_context, static_cast<unsigned>(orders.size()));
+    for (AddressedOrder &order : orders) {
+        asio::co_spawn(m_context, sendOne(order.rank, std::move(order.order), gather), asio::detached);
+    }
+    co_await waitFor(gather);
+    m_lastOrder = m_state.clock.now();
+    for (const auto &[rank, result] : gather->results) {
+        if (result != OrderResult::Accepted) {
+            logChange("order-not-accepted",
+                      {{"pool", m_pool},
+                       {"rank", std::to_string(rank)},
+                       {"phase", switchPhaseName(m_switch.phase())},
+                       {"map", std::to_string(m_switch.version())},
+                       {"pass", std::to_string(m_switch.pass())},
+                       {"answer", result == OrderResult::Unknown ? "none" : "refused"}});
+        }
+    }
+    const SwitchPhase phase = m_switch.phase();
+    for (const auto &[rank, result] : gather->results) {
+        if (m_switch.phase() == phase) {
+            m_switch.result(rank, result);
+        }
+    }
+}
+
+/** A pass that the group reaches only after the hold and all arms have arrived. */
+void MapKeeper::choosePass(double marginFactor)
+{
+    std::uint64_t pass = 0;
+    for (const RankReport &report : m_reports) {
+        pass = std::max(pass, report.pass);
+    }
+    Duration length = kShortestPass;
+    const auto passes = static_cast<Duration::rep>(m_reports.front().pass - std::min(m_reports.front().pass, m_earlierPass));
+    if (passes > 0) {
+        length = std::max(kShortestPass, (m_reportsAt - m_earlierAt) / passes * 3 / 4);
+    }
+    const Duration ahead = engine()->reportLag + Duration(static_cast<Duration::rep>(static_cast<double>(kHoldMargin.count()) * marginFactor));
+    m_switch.holdAt(pass + static_cast<std::uint64_t>(ahead / length) + 2);
+}
+
+asio::awaitable<void> MapKeeper::drive(Duration copyTime)
+{
+    const TimePoint began = m_state.clock.now();
+    const Duration lag = engine()->reportLag + kReportMargin;
+    double marginFactor = 1;
+    while (m_switch.phase() != SwitchPhase::Idle) {
+        const TimePoint now = m_state.clock.now();
+        if (!m_lease.holds(now)) {
+            co_await keepLease();
+        }
+        if (!m_lease.holds(m_state.clock.now()) || (m_switch.phase() == SwitchPhase::Prepare && now - began > kLongestPrepare + copyTime)) {
+            co_return;
+        }
+        const bool fresh = now - m_reportsAt < kFreshReports;
+        if (m_switch.needsPass() && fresh) {
+            choosePass(marginFactor);
+            marginFactor *= 2;
+            continue;
+        }
+        if (m_switch.needsReports() || m_switch.needsPass()) {
+            Duration wait = m_switch.needsPass() ? Duration(0) : lag;
+            if (m_switch.phase() == SwitchPhase::Prepare) {
+                wait = std::max(kPollPrepared, began + copyTime + lag - now);
+            }
+            co_await sleep(wait);
+            const bool complete = co_await readReports();
+            if (!complete) {
+                co_await sleep(kFollowerRound);
+                const auto listed = m_state.targets.listed(m_pool).size();
+                if (listed < m_ranks.size()) {
+                    co_return; // a rank has gone, and with it the epoch
+                }
+                continue;
+            }
+            m_switch.observe(m_reports);
+            continue;
+        }
+        co_await sendOrders(m_switch.orders());
+        const bool renew = m_lease.step(m_state.clock.now()) == LeaseKeeper::Step::Write && m_switch.phase() == SwitchPhase::Prepare;
+        if (renew) {
+            co_await keepLease();
+        }
+    }
+}
+
+} // namespace fulmarlink
--- /dev/null
+++ b/fulmarlink/mapkeeper.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <optional>
+
+#include "fulmarlink/expertload.h"
+#include "fulmarlink/expertplanner.h"
+#include "fulmarlink/gatewaystate.h"
+#include "fulmarlink/groupswitch.h"
+#include "fulmarlink/leasekeeper.h"
+#include "fulmarlink/platform.h"
+
+namespace fulmarlink
+{
+
+/**
+ * Keeps the expert map of a pool's group near what is in demand: holds the pool's lease,
+ * reads counts, plans, and drives GroupSwitch. One entry of all does it at a time; the
+ * others take over when it no longer renews its lease.
+ *
+ * How to use: run() once for each pool with experts; it ends when stop() was called.
+ */
+class MapKeeper
+{
+public:
+    MapKeeper(boost::asio::io_context &context, GatewayState &state, Platform &platform, std::string pool);
+
+    boost::asio::awaitable<void> run();
+    void stop();
+
+private:
+    struct Gather;
+
+    boost::asio::awaitable<void> keepLease();
+    boost::asio::awaitable<void> leaderRound();
+    boost::asio::awaitable<bool> readReports();
+    boost::asio::awaitable<bool> readPlacements();
+    boost::asio::awaitable<void> readCounts();
+    boost::asio::awaitable<void> recover();
+    boost::asio::awaitable<void> change(ExpertPlan plan);
+    boost::asio::awaitable<void> drive(Duration copyTime);
+    boost::asio::awaitable<void> sendOrders(std::vector<AddressedOrder> orders);
+    void choosePass(double marginFactor);
+    boost::asio::awaitable<void> sleep(Duration duration);
+    boost::asio::awaitable<void> sendOne(unsigned rank, RankOrder order, std::shared_ptr<Gather> gather);
+    boost::asio::awaitable<void> reportOne(unsigned index, std::shared_ptr<Gather> gather);
+    boost::asio::awaitable<void> placementOne(unsigned index, std::shared_ptr<Gather> gather);
+    boost::asio::awaitable<void> countsOne(unsigned index, std::shared_ptr<Gather> gather);
+    boost::asio::awaitable<void> waitFor(std::shared_ptr<Gather> gather);
+    bool standsStill() const;
+    std::optional<EngineSpec> engine() const;
+    std::string mapText() const;
+
+    boost::asio::io_context &m_context;
+    GatewayState &m_state;
+    Platform &m_platform;
+    const std::string m_pool;
+    LeaseKeeper m_lease;
+    GroupSwitch m_switch;
+    ExpertLoad m_load;
+    std::vector<TargetInfo> m_ranks; ///< in rank order, of the last complete reports
+    std::vector<RankReport> m_reports; ///< in rank order
+    TimePoint m_reportsAt{};
+    std::uint64_t m_earlierPass = 0; ///< of the reports before
+    TimePoint m_earlierAt{};
+    std::uint64_t m_knownEpoch = 0; ///< of m_map
+    std::uint64_t m_knownVersion = 0; ///< of m_map
+    bool m_mapKnown = false;
+    GroupMap m_map;
+    std::uint64_t m_switches = 0; ///< in this term, so that versions are unique
+    TimePoint m_lastOrder{};
+    unsigned m_sample = 0; ///< rotates the ranks whose counts are read
+    bool m_stopped = false;
+    bool m_wasLeader = false;
+    Counters::Id m_switchesDone;
+    Counters::Id m_switchesGivenUp;
+    Counters::Id m_copies;
+    Counters::Id m_recoveries;
+    Counters::Id m_leader;
+};
+
+} // namespace fulmarlink
--- a/fulmarlink/platform.h
+++ b/fulmarlink/platform.h
@@ -76,7 +76,7 @@
     virtual boost::asio::awaitable<LeaseRead> writeLease(std::string group, LeaseRecord record) = 0;
 
     virtual boost::asio::awaitable<RankReportRead> readRankReport(TargetInfo target) = 0;
-    virtual boost::asio::awaitable<ExpertCountsRead> readExpertCounts(TargetInfo target) = 0;
+    virtual boost::asio::awaitable<ExpertCountsRead> readExpertCounts(TargetInfo target, unsigned layerSets) = 0;
     virtual boost::asio::awaitable<RankPlacementRead> readRankPlacement(TargetInfo target) = 0;
     virtual boost::asio::awaitable<OrderResult> order(TargetInfo target, RankOrder order) = 0;
 };
--- a/fulmarlink/rankorders.h
+++ b/fulmarlink/rankorders.h
@@ -22,7 +22,6 @@
     unsigned size = 0; ///< ranks of the group
     bool open = false; ///< the group makes passes
     std::uint64_t pass = 0; ///< the last pass that was begun
-    std::uint64_t orders = 0; ///< orders accepted since the rank's start
     std::uint64_t map = 0; ///< version of the map in use
     std::uint64_t prepared = 0; ///< version whose experts have been copied; 0: none
     std::uint64_t armed = 0; ///< version that it will switch to; 0: none
@@ -57,7 +56,6 @@
 enum class RankOrderKind : std::uint8_t {
     Prepare, ///< copy the experts of a new map
     Arm, ///< switch to a prepared map as a pass begins
-    Disarm,
     Hold, ///< the group does not begin a pass until it is told to go on
     Go,
 };
@@ -65,7 +63,6 @@
 struct RankOrder {
     RankOrderKind kind = RankOrderKind::Prepare;
     std::uint64_t epoch = 0; ///< refused in another
-    std::uint64_t expectedOrders = 0; ///< refused if the rank has accepted another number of orders
     std::uint64_t version = 0;
     std::uint64_t pass = 0;
     GroupMap map; ///< of Prepare
