Plan on a short window, copy less, hold as soon as the copies are due

Cause: a switch took 1.0 to 1.8 s and rested on counts of 1.7 s, while demand turns each 3.3 s. Change: counts of a 300 ms window, at most 4 copies a rank over all sets, arms find out whether the copies are there instead of a report 280 ms later; planner takes the worst set first.

--- a/fulmarlink/expertplanner.cpp
+++ b/fulmarlink/expertplanner.cpp
@@ -21,11 +21,13 @@
 class SetSearch
 {
 public:
-    SetSearch(RankExperts ranks, const std::vector<double> &load, const ExpertPlanOptions &options)
+    /** @p copies counts the new experts of each rank over all sets. */
+    SetSearch(RankExperts ranks, const std::vector<double> &load, const ExpertPlanOptions &options, std::vector<unsigned> &copies)
         : m_before(ranks)
         , m_ranks(std::move(ranks))
         , m_load(load)
         , m_options(options)
+        , m_copies(copies)
         , m_holders(load.size(), 0)
         , m_added(m_ranks.size(), 0)
     {
@@ -35,18 +37,23 @@
             }
         }
         recompute();
+        m_mean = std::accumulate(m_loads.begin(), m_loads.end(), 0.0) / static_cast<double>(m_loads.size());
     }
 
+    /** Load of the busiest rank above the mean; 0 once no change is worth it. */
+    double excess() const
+    {
+        return m_exhausted ? 0 : *std::ranges::max_element(m_loads) - m_mean;
+    }
+
+    /** Makes the best change for the busiest rank, if one is worth its copying. */
     void improve()
     {
-        const double mean = std::accumulate(m_loads.begin(), m_loads.end(), 0.0) / static_cast<double>(m_loads.size());
-        for (unsigned i = 0; i < m_options.maxChanges; ++i) {
-            const auto busiest = static_cast<std::size_t>(std::ranges::max_element(m_loads) - m_loads.begin());
-            const double excess = m_loads[busiest] - mean;
-            const auto change = best(busiest);
-            if (!change || excess <= 0 || change->relief < excess * m_options.leastGain || change->relief < mean * m_options.leastGain) {
-                return;
-            }
+        const auto busiest = static_cast<std::size_t>(std::ranges::max_element(m_loads) - m_loads.begin());
+        const auto change = best(busiest);
+        const double least = std::max(m_loads[busiest] - m_mean, m_mean) * m_options.leastGain;
+        m_exhausted = !change || change->relief < least;
+        if (!m_exhausted) {
             apply(busiest, *change);
         }
     }
@@ -78,7 +85,7 @@
 
     bool mayAdd(std::size_t rank, ExpertId expert) const
     {
-        return !contains(m_ranks[rank], expert) && (!isNew(rank, expert) || m_added[rank] < m_options.newPerSwitch);
+        return !contains(m_ranks[rank], expert) && (!isNew(rank, expert) || (m_added[rank] < m_options.newPerSwitch && m_copies[rank] < m_options.newPerRank));
     }
 
     static double square(double value)
@@ -159,6 +166,7 @@
     void add(std::size_t rank, ExpertId expert)
     {
         m_added[rank] += isNew(rank, expert) ? 1 : 0;
+        m_copies[rank] += isNew(rank, expert) ? 1 : 0;
         m_ranks[rank].push_back(expert);
         ++m_holders[expert];
     }
@@ -166,6 +174,7 @@
     void remove(std::size_t rank, ExpertId expert)
     {
         m_added[rank] -= isNew(rank, expert) ? 1 : 0;
+        m_copies[rank] -= isNew(rank, expert) ? 1 : 0;
         std::erase(m_ranks[rank], expert);
         --m_holders[expert];
     }
@@ -197,9 +206,12 @@
     RankExperts m_ranks;
     const std::vector<double> &m_load;
     const ExpertPlanOptions &m_options;
+    std::vector<unsigned> &m_copies;
     std::vector<unsigned> m_holders; ///< ranks that hold an expert
     std::vector<unsigned> m_added; ///< new experts, by rank
     std::vector<double> m_loads; ///< by rank
+    double m_mean = 0;
+    bool m_exhausted = false;
     mutable std::vector<double> m_delta; ///< kept to save allocations
 };
 
@@ -231,19 +243,23 @@
     ExpertPlan plan;
     plan.before = 0;
     plan.after = 0;
-    std::vector<unsigned> copies;
+    std::vector<unsigned> copies(current.empty() ? 0 : current.front().size(), 0);
+    std::vector<SetSearch> searches;
+    searches.reserve(current.size());
     for (std::size_t set = 0; set < current.size(); ++set) {
-        SetSearch search(current[set], load[set], options);
-        search.improve();
-        copies.resize(current[set].size(), 0);
-        for (std::size_t rank = 0; rank < current[set].size(); ++rank) {
-            for (const ExpertId expert : search.ranks()[rank]) {
-                copies[rank] += contains(current[set][rank], expert) ? 0 : 1;
-            }
+        searches.emplace_back(current[set], load[set], options, copies);
+    }
+    for (unsigned i = 0; i < options.maxChanges && !searches.empty(); ++i) {
+        SetSearch &worst = *std::ranges::max_element(searches, {}, &SetSearch::excess);
+        if (worst.excess() <= 0) {
+            break;
         }
+        worst.improve();
+    }
+    for (std::size_t set = 0; set < current.size(); ++set) {
         plan.before += setImbalance(current[set], load[set]) / static_cast<double>(current.size());
-        plan.after += setImbalance(search.ranks(), load[set]) / static_cast<double>(current.size());
-        plan.map.push_back(search.ranks());
+        plan.after += setImbalance(searches[set].ranks(), load[set]) / static_cast<double>(current.size());
+        plan.map.push_back(searches[set].ranks());
     }
     plan.copies = std::accumulate(copies.begin(), copies.end(), 0U);
     plan.mostCopies = copies.empty() ? 0 : *std::ranges::max_element(copies);
--- a/fulmarlink/expertplanner.h
+++ b/fulmarlink/expertplanner.h
@@ -10,9 +10,10 @@
 struct ExpertPlanOptions {
     unsigned placements = 0; ///< experts that a rank may hold of a set
     unsigned newPerSwitch = 0; ///< experts new to a rank, of a set
+    unsigned newPerRank = 8; ///< experts new to a rank, over all sets: they are copied one after the other, and the switch waits for the slowest rank
     /** A change must take away this share of the busiest rank's excess over the mean; smaller ones cost more copying than they save. */
     double leastGain = 0.04;
-    unsigned maxChanges = 64; ///< of a set; bounds the search
+    unsigned maxChanges = 256; ///< bounds the search
 };
 
 /** What a plan changes. */
@@ -30,15 +31,16 @@
 /**
  * Improves the map of a group for the given loads (by set, by expert).
  *
- * Set by set, the busiest rank is relieved by the change that lowers the sum of the
+ * Step by step, in the set whose busiest rank has most above the mean, that rank is
+ * relieved by the change that lowers the sum of the
  * squared rank loads most: a further replica elsewhere (in a free place, or in that of an
  * expert that is held twice), or an exchange with an expert of a less loaded rank. It
  * ends when no change is worth its copying, or when every rank has taken as many new
  * experts as one switch allows.
  *
  * Contract: every expert stays on at least one rank; no rank holds an expert twice, more
- * than @p placements, or more than newPerSwitch that it did not hold. Pure.
- * O(changes x placements^2 x ranks) a set.
+ * than @p placements, or more new ones than the options allow. Pure.
+ * O(changes x placements^2 x ranks).
  */
 ExpertPlan planExperts(const GroupMap &current, const std::vector<std::vector<double>> &load, const ExpertPlanOptions &options);
 
--- a/fulmarlink/groupswitch.cpp
+++ b/fulmarlink/groupswitch.cpp
@@ -101,6 +101,7 @@
         rank.done = false;
         rank.stuck = false;
         rank.accepted = false;
+        rank.refusals = 0;
     }
 }
 
@@ -164,8 +165,8 @@
     case OrderResult::Unknown:
         break; // sent again
     case OrderResult::Refused:
-        state.stuck = true;
         m_needsPass = m_phase == SwitchPhase::Hold;
+        state.stuck = m_phase != SwitchPhase::Arm || ++state.refusals >= kArmRefusals;
         break;
     }
     advance();
@@ -174,6 +175,7 @@
 void GroupSwitch::observeRank(Rank &rank, const RankReport &report)
 {
     rank.stuck = false;
+    rank.refusals = 0;
     switch (m_phase) {
     case SwitchPhase::Idle:
         break;
@@ -261,6 +263,14 @@
     return m_phase != SwitchPhase::Idle && !m_needsPass && orders().empty();
 }
 
+void GroupSwitch::assumePrepared()
+{
+    if (m_phase != SwitchPhase::Prepare || !std::ranges::all_of(m_ranks, &Rank::accepted)) {
+        return;
+    }
+    enter(SwitchPhase::Hold);
+}
+
 bool GroupSwitch::needsPass() const
 {
     return m_needsPass;
--- a/fulmarlink/groupswitch.h
+++ b/fulmarlink/groupswitch.h
@@ -48,10 +48,18 @@
 class GroupSwitch
 {
 public:
+    /** Arm orders that a rank may refuse before its report is read; its copy may be late by a few order times. */
+    static constexpr unsigned kArmRefusals = 8;
+
     /** Begins a switch of a group whose ranks all use one map, with nothing armed or held. @p version is higher than any before. */
     void begin(unsigned ranks, std::uint64_t epoch, std::uint64_t version, GroupMap map);
     /** Finishes what the reports, of all ranks in rank order, show as under way. False if there is nothing to do. */
     bool recover(const std::vector<RankReport> &reports);
+    /**
+     * The copies of all ranks must be there by now. Arm orders find out: a rank refuses
+     * them until its copy is there, while the pass is held.
+     */
+    void assumePrepared();
     /** A pass to hold at, once every rank has prepared; @p pass has not begun. */
     void holdAt(std::uint64_t pass);
 
@@ -74,6 +82,7 @@
     struct Rank {
         bool done = false; ///< its part of the phase
         bool accepted = false; ///< it has taken the phase's order
+        unsigned refusals = 0; ///< of the phase's order, in a row
         bool stuck = false; ///< only its report tells how it goes on
     };
 
--- a/fulmarlink/mapkeeper.cpp
+++ b/fulmarlink/mapkeeper.cpp
@@ -24,6 +24,7 @@
 {
 
 constexpr Duration kRound = std::chrono::milliseconds(600); ///< between two reads of counts; demand turns every two to four seconds
+constexpr Duration kWindow = std::chrono::milliseconds(300); ///< of the counts that a plan rests on: some passes, short against the time in which demand turns
 constexpr Duration kFollowerRound = std::chrono::milliseconds(250);
 constexpr Duration kStandstill = std::chrono::milliseconds(700); ///< longer than any pass, shorter than callers' patience
 constexpr Duration kReportMargin = std::chrono::milliseconds(80); ///< beyond the reports' stated lag
@@ -35,9 +36,10 @@
 constexpr double kLeastImprovement
     = 0.1; ///< of the busiest rank's load over the mean; below it a switch costs more in orders and copies than the shorter passes bring
 constexpr double kLeastChoices = 2000; ///< in the counts of a round, so that noise moves nothing
-constexpr unsigned kSampledRanks = 6; ///< of a group; requests spread evenly, so these stand for all
+constexpr unsigned kSampledRanks = 8; ///< of a group; requests spread evenly, so these stand for all
+constexpr unsigned kNewPerRank = 4; ///< copies of one rank, so that a switch is in force before demand turns again
 constexpr std::uint64_t kVersionsOfTerm = 4096;
-constexpr double kCopyMargin = 1.15;
+constexpr double kCopyMargin = 1.03;
 constexpr double kMegabitsPerMegabyte = 8;
 
 std::string fixed(double value)
@@ -280,6 +282,7 @@
         asio::co_spawn(m_context, countsOne(i, gather), asio::detached);
     }
     co_await waitFor(gather);
+    m_countsAt = m_state.clock.now();
     for (unsigned i = 0; i < sampled; ++i) {
         const ExpertCountsRead &read = gather->counts[i];
         if (read.error) {
@@ -305,6 +308,11 @@
             co_return;
         }
     }
+    if (m_state.clock.now() - m_countsAt > kWindow * 2) {
+        co_await readCounts(); // the window's beginning
+        m_load.take();
+        co_await sleep(kWindow);
+    }
     co_await readCounts();
     logChange("counts-read", {{"pool", m_pool}, {"map", std::to_string(m_knownVersion)}, {"choices", std::to_string(m_load.gathered())}});
     if (!m_mapKnown || m_load.gathered() < kLeastChoices) {
@@ -315,6 +323,7 @@
     ExpertPlanOptions options;
     options.placements = spec.placements;
     options.newPerSwitch = spec.newPerSwitch;
+    options.newPerRank = kNewPerRank;
     if (load.size() != m_map.size() || load.front().size() != spec.experts) {
         co_return;
     }
@@ -452,9 +461,11 @@
         if (m_switch.needsReports() || m_switch.needsPass()) {
             Duration wait = m_switch.needsPass() ? Duration(0) : lag;
             if (m_switch.phase() == SwitchPhase::Prepare) {
-                wait = std::max(kPollPrepared, began + copyTime + lag - now);
+                const bool all = now - began < copyTime;
+                wait = all ? began + copyTime - now : kPollPrepared;
             }
             co_await sleep(wait);
+            m_switch.assumePrepared();
             const bool complete = co_await readReports();
             if (!complete) {
                 co_await sleep(kFollowerRound);
--- a/fulmarlink/mapkeeper.h
+++ b/fulmarlink/mapkeeper.h
@@ -72,6 +72,7 @@
     GroupMap m_map;
     std::uint64_t m_switches = 0; ///< in this term, so that versions are unique
     TimePoint m_lastOrder{};
+    TimePoint m_countsAt{}; ///< when counts were last read
     unsigned m_sample = 0; ///< rotates the ranks whose counts are read
     bool m_stopped = false;
     bool m_wasLeader = false;
