Counts are read when the pace turns; reads of the store by the bounds; drains refuse late work

Change: PoolGate's mean pause over 250 ms triggers a plan at 1.25 times the calm one; a switch must win 0.2; reads 1.8 times in the bound; new work is refused 3 s after SIGTERM; 0.7 of the retry window; silence is judged by runner.

--- a/fulmarlink/expertplanner.cpp
+++ b/fulmarlink/expertplanner.cpp
@@ -28,12 +28,13 @@
         , m_load(load)
         , m_options(options)
         , m_copies(copies)
-        , m_holders(load.size(), 0)
+        , m_holders(load.size())
         , m_added(m_ranks.size(), 0)
+        , m_delta(m_ranks.size(), 0)
     {
-        for (const auto &experts : m_ranks) {
-            for (const ExpertId expert : experts) {
-                ++m_holders[expert];
+        for (std::size_t rank = 0; rank < m_ranks.size(); ++rank) {
+            for (const ExpertId expert : m_ranks[rank]) {
+                m_holders[expert].push_back(rank);
             }
         }
         recompute();
@@ -75,7 +76,7 @@
 
     double share(ExpertId expert) const
     {
-        return m_load[expert] / std::max(1U, m_holders[expert]);
+        return m_load[expert] / static_cast<double>(std::max<std::size_t>(1, m_holders[expert].size()));
     }
 
     bool isNew(std::size_t rank, ExpertId expert) const
@@ -97,29 +98,33 @@
     std::optional<Change> replica(std::size_t busiest, ExpertId expert, std::size_t other, std::optional<ExpertId> evicted) const
     {
         const double now = share(expert);
-        const double then = m_load[expert] / (m_holders[expert] + 1);
+        const double then = m_load[expert] / static_cast<double>(m_holders[expert].size() + 1);
         Change change{expert, other, evicted, false, 0, now - then};
-        std::vector<double> &delta = m_delta;
-        delta.assign(m_ranks.size(), 0);
-        for (std::size_t rank = 0; rank < m_ranks.size(); ++rank) {
-            if (contains(m_ranks[rank], expert)) {
-                delta[rank] += then - now;
+        double relief = 0;
+        const auto shift = [&](std::size_t rank, double amount) {
+            if (m_delta[rank] == 0) {
+                m_touched.push_back(rank);
             }
+            m_delta[rank] += amount;
+        };
+        m_touched.clear();
+        for (const std::size_t rank : m_holders[expert]) {
+            shift(rank, then - now);
         }
-        delta[other] += then;
+        shift(other, then);
         if (evicted) {
             const double evictedNow = share(*evicted);
-            const double evictedThen = m_load[*evicted] / (m_holders[*evicted] - 1);
-            for (std::size_t rank = 0; rank < m_ranks.size(); ++rank) {
-                if (contains(m_ranks[rank], *evicted)) {
-                    delta[rank] += rank == other ? -evictedNow : evictedThen - evictedNow;
-                }
+            const double evictedThen = m_load[*evicted] / static_cast<double>(m_holders[*evicted].size() - 1);
+            for (const std::size_t rank : m_holders[*evicted]) {
+                shift(rank, rank == other ? -evictedNow : evictedThen - evictedNow);
             }
         }
-        for (std::size_t rank = 0; rank < m_ranks.size(); ++rank) {
-            change.squares += square(m_loads[rank] + delta[rank]) - square(m_loads[rank]);
+        for (const std::size_t rank : m_touched) {
+            change.squares += square(m_loads[rank] + m_delta[rank]) - square(m_loads[rank]);
+            relief = rank == busiest ? -m_delta[rank] : relief;
+            m_delta[rank] = 0;
         }
-        change.relief = -delta[busiest];
+        change.relief = relief;
         return change;
     }
 
@@ -153,7 +158,7 @@
                     consider(replica(busiest, expert, other, std::nullopt), best);
                 }
                 for (const ExpertId there : m_ranks[other]) {
-                    if (m_holders[there] > 1 && m_ranks[other].size() >= m_options.placements) {
+                    if (m_holders[there].size() > 1 && m_ranks[other].size() >= m_options.placements) {
                         consider(replica(busiest, expert, other, there), best);
                     }
                     consider(exchange(busiest, expert, other, there), best);
@@ -168,7 +173,7 @@
         m_added[rank] += isNew(rank, expert) ? 1 : 0;
         m_copies[rank] += isNew(rank, expert) ? 1 : 0;
         m_ranks[rank].push_back(expert);
-        ++m_holders[expert];
+        m_holders[expert].push_back(rank);
     }
 
     void remove(std::size_t rank, ExpertId expert)
@@ -176,7 +181,7 @@
         m_added[rank] -= isNew(rank, expert) ? 1 : 0;
         m_copies[rank] -= isNew(rank, expert) ? 1 : 0;
         std::erase(m_ranks[rank], expert);
-        --m_holders[expert];
+        std::erase(m_holders[expert], rank);
     }
 
     void apply(std::size_t busiest, const Change &change)
@@ -207,12 +212,13 @@
     const std::vector<double> &m_load;
     const ExpertPlanOptions &m_options;
     std::vector<unsigned> &m_copies;
-    std::vector<unsigned> m_holders; ///< ranks that hold an expert
+    std::vector<std::vector<std::size_t>> m_holders; ///< ranks that hold an expert
     std::vector<unsigned> m_added; ///< new experts, by rank
     std::vector<double> m_loads; ///< by rank
     double m_mean = 0;
     bool m_exhausted = false;
-    mutable std::vector<double> m_delta; ///< kept to save allocations
+    mutable std::vector<double> m_delta; ///< by rank, all 0 between calls; kept to save allocations
+    mutable std::vector<std::size_t> m_touched; ///< ranks whose m_delta is in use
 };
 
 } // namespace
--- a/fulmarlink/gateway.cpp
+++ b/fulmarlink/gateway.cpp
@@ -21,12 +21,11 @@
 {
 
 /**
- * How often the configuration is read. Every read is linearizable, so that a change is
- * known within this and an answer's time even where watches hear nothing; two reads fit
- * into the shortest bound on a change (2 s) with a lost one between them.
+ * Reads of the store begin so often in the bound on a change. Every read is linearizable,
+ * so that a change is known in time even where watches hear nothing; what is left of the
+ * bound is for the jitter and for an answer that takes a few hundred milliseconds.
  */
-constexpr Duration kConfigurationInterval = std::chrono::milliseconds(700);
-constexpr Duration kTargetsInterval = std::chrono::milliseconds(700); ///< for the same reason: a leaving runner gets no work after 2 s
+constexpr double kReadsInBound = 1.8;
 constexpr Duration kEntriesInterval = std::chrono::seconds(5); ///< hosts are replaced a few times an hour
 constexpr Duration kStoreRetry = std::chrono::milliseconds(250); ///< after a refusal or an outage; a fifth of the store's read rate if 100 entries do it
 constexpr Duration kHousekeeping = std::chrono::milliseconds(200);
@@ -37,6 +36,11 @@
 constexpr unsigned kHttpUnavailable = 503;
 constexpr unsigned kHttpNotFound = 404;
 
+Duration interval(std::chrono::milliseconds bound)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(Duration(bound).count()) / kReadsInBound));
+}
+
 std::string joined(const std::vector<std::string> &values)
 {
     std::string result;
@@ -67,7 +71,7 @@
 
 bool Gateway::ready() const
 {
-    return !m_state.draining && m_targetsKnown && m_state.config.active() && m_state.config.age(m_clock.now()) < kReadyProof;
+    return !m_state.drainBegan && m_targetsKnown && m_state.config.active() && m_state.config.age(m_clock.now()) < kReadyProof;
 }
 
 void Gateway::startHttp()
@@ -102,14 +106,13 @@
 
 void Gateway::startDrain()
 {
-    m_state.draining = true;
-    m_drainBegan = m_clock.now();
+    m_state.drainBegan = m_clock.now();
     logChange("draining", {{"unanswered", std::to_string(m_state.exchanges)}});
 }
 
 bool Gateway::drained() const
 {
-    return m_clock.now() - m_drainBegan >= kDrainLeast && m_state.exchanges == 0;
+    return m_clock.now() - m_state.drainBegan.value_or(m_clock.now()) >= kDrainLeast && m_state.exchanges == 0;
 }
 
 void Gateway::cutAll()
@@ -143,7 +146,7 @@
 
 Duration Gateway::jittered(Duration duration)
 {
-    return Duration(std::uniform_int_distribution<Duration::rep>(duration.count() * 3 / 4, duration.count() * 5 / 4)(m_state.random));
+    return Duration(std::uniform_int_distribution<Duration::rep>(duration.count() * 9 / 10, duration.count() * 11 / 10)(m_state.random));
 }
 
 void Gateway::noteStore(bool reachable, const std::string &call, const std::string &error)
@@ -186,7 +189,7 @@
                 logWarning("configuration-older", {{"offered", std::to_string(offered)}, {"config", std::to_string(m_state.config.version())}});
             }
         }
-        co_await sleep(jittered(read.error ? kStoreRetry : kConfigurationInterval));
+        co_await sleep(jittered(read.error ? kStoreRetry : interval(m_state.settings.configurationBound)));
     }
 }
 
@@ -225,7 +228,7 @@
         if (!read.error) {
             noteTargets(read);
         }
-        co_await sleep(jittered(read.error ? kStoreRetry : kTargetsInterval));
+        co_await sleep(jittered(read.error ? kStoreRetry : interval(m_state.settings.leavingBound)));
     }
 }
 
@@ -256,7 +259,7 @@
         m_connections.sweep(m_state.targets);
         m_counters.set(m_requestsNow, m_state.exchanges);
         m_counters.set(m_proofAge, static_cast<std::uint64_t>(m_state.config.age(m_clock.now()).count() / 1000));
-        if (m_state.draining && m_clock.now() - m_drainBegan >= kDrainLeast) {
+        if (m_state.drainBegan && m_clock.now() - *m_state.drainBegan >= kDrainLeast) {
             m_server.closeIdle();
         }
         flushLog();
--- a/fulmarlink/gateway.h
+++ b/fulmarlink/gateway.h
@@ -82,7 +82,6 @@
     Counters::Id m_staleConfigurations;
     bool m_storeReachable = true;
     bool m_targetsKnown = false;
-    TimePoint m_drainBegan{};
     std::vector<TargetInfo> m_listed; ///< the newest list
 };
 
--- a/fulmarlink/gatewayexchange.cpp
+++ b/fulmarlink/gatewayexchange.cpp
@@ -45,6 +45,8 @@
 constexpr Duration kSilentPlain
     = std::chrono::milliseconds(200); ///< an idempotent request goes elsewhere after twice its objective, and never sooner than this
 constexpr Duration kSilentStream = std::chrono::milliseconds(1000); ///< half of the time after which callers abandon a silent stream
+constexpr Duration kDrainAdmits = std::chrono::milliseconds(3000); ///< a stream that begins later may not end before the shutdown limit
+constexpr Duration kDrainRetry = std::chrono::milliseconds(50); ///< another entry takes it at once
 constexpr Duration kLively = std::chrono::milliseconds(300); ///< a pool that gave a sign of work within this is not stalled
 constexpr Duration kStallMargin = std::chrono::milliseconds(150);
 constexpr Duration kResumePatience = std::chrono::milliseconds(1900); ///< callers abandon a stream after two seconds without an event
@@ -93,7 +95,7 @@
 
 bool GatewayExchange::closing() const
 {
-    return m_state.draining || !m_keepAlive;
+    return m_state.drainBegan || !m_keepAlive;
 }
 
 Duration GatewayExchange::timeLeft() const
@@ -148,6 +150,9 @@
 bool GatewayExchange::admit()
 {
     m_deadline = m_arrived + m_facts.deadline.value_or(kDefaultDeadline);
+    if (m_state.drainBegan && m_arrived - *m_state.drainBegan > kDrainAdmits) {
+        return refuse(ResultCode::ShuttingDown, kDrainRetry);
+    }
     m_active = m_state.config.active();
     if (!m_active) {
         return refuse(ResultCode::NoConfiguration, kUnprovedRetry);
@@ -284,6 +289,7 @@
 asio::awaitable<AttemptEnd> GatewayExchange::attempt(const TargetInfo &target)
 {
     const TimePoint began = m_state.clock.now();
+    m_target = target.id;
     m_tried.insert(target.id);
     m_state.targets.sent(target.id);
     AttemptEnd end = AttemptEnd::NotSent;
@@ -365,8 +371,10 @@
     if (!m_route.streaming) {
         return std::min(left, std::max(m_route.objective * 2, kSilentPlain));
     }
-    const bool lively = m_state.clock.now() - m_state.pools.at(m_pool).gate.lastAnswer() < kLively;
-    return lively ? std::min(left, std::max(m_route.objective * 2, kSilentStream)) : left;
+    const TimePoint now = m_state.clock.now();
+    const bool lively = now - m_state.pools.at(m_pool).gate.lastAnswer() < kLively;
+    const bool alive = now - m_state.targets.lastHeard(m_target) < kSilentStream; // it answers others: this request waits its turn
+    return lively && !alive ? std::min(left, std::max(m_route.objective * 2, kSilentStream)) : left;
 }
 
 asio::awaitable<boost::system::error_code> GatewayExchange::readHead(TargetConnection &connection, std::unique_ptr<AnswerParser> &parser)
@@ -447,6 +455,7 @@
             co_return AttemptEnd::Broken;
         }
         gate.answerSeen(now);
+        m_state.targets.heard(target.id, now);
         const bool stream = m_route.streaming && head.result_int() == 200 && isEventStream(head);
         AttemptEnd end = AttemptEnd::Broken;
         if (stream) {
@@ -548,6 +557,7 @@
 {
     PoolGate &gate = m_state.pool(m_pool).gate;
     gate.answerSeen(now);
+    m_state.targets.heard(m_target, now);
     const bool first = m_firstEvent == TimePoint{};
     const Duration pause = first ? now - m_arrived : now - m_lastEvent;
     const Duration target = first ? m_route.objective : m_route.gapTarget;
@@ -555,6 +565,8 @@
         m_firstEvent = now;
     } else {
         m_longestPause = std::max(m_longestPause, pause);
+        gate.pauseSeen(pause, now);
+        gate.recentPause(now); // keeps the window short
     }
     m_lastEvent = now;
     if (target > Duration(0)) {
--- a/fulmarlink/gatewayexchange.h
+++ b/fulmarlink/gatewayexchange.h
@@ -90,6 +90,7 @@
 
     std::shared_ptr<TargetConnection> m_connection; ///< in use, so that callerGone() can close it
     std::set<std::string> m_tried;
+    std::string m_target; ///< id of the runner of the last attempt
     std::string m_targets; ///< ids, for the log
     unsigned m_sends = 0;
     unsigned m_ran = 0;
--- a/fulmarlink/gatewaysettings.cpp
+++ b/fulmarlink/gatewaysettings.cpp
@@ -57,8 +57,10 @@
     settings.peers = readAddress(listen, "peers", false);
     settings.store = readAddress(reader, "store", true);
     const YamlReader bounds = reader.child("bounds");
-    bounds.keys({"revoke_ms", "shutdown_ms", "stall_ms", "retry_window_ms", "retry_ratio", "retry_slack"});
+    bounds.keys({"revoke_ms", "configuration_ms", "leaving_ms", "shutdown_ms", "stall_ms", "retry_window_ms", "retry_ratio", "retry_slack"});
     settings.revokeBound = readMs(bounds, "revoke_ms", settings.revokeBound);
+    settings.configurationBound = readMs(bounds, "configuration_ms", settings.configurationBound);
+    settings.leavingBound = readMs(bounds, "leaving_ms", settings.leavingBound);
     settings.shutdownLimit = readMs(bounds, "shutdown_ms", settings.shutdownLimit);
     settings.stall = readMs(bounds, "stall_ms", settings.stall);
     settings.retryWindow = readMs(bounds, "retry_window_ms", settings.retryWindow);
--- a/fulmarlink/gatewaysettings.h
+++ b/fulmarlink/gatewaysettings.h
@@ -24,6 +24,8 @@
     HttpTarget peers; ///< load reports between entries, UDP; port 0: none
     HttpTarget store;
     std::chrono::milliseconds revokeBound{5000}; ///< a key that was taken away runs nowhere after this
+    std::chrono::milliseconds configurationBound{2000}; ///< a change is in force after this
+    std::chrono::milliseconds leavingBound{2000}; ///< a leaving runner gets no work after this
     std::chrono::milliseconds shutdownLimit{8000}; ///< from SIGTERM to SIGKILL
     std::chrono::milliseconds stall{1500}; ///< work that depends on a dead rank stands still for so long before it is cut off
     std::chrono::milliseconds retryWindow{10'000};
--- a/fulmarlink/gatewaystate.h
+++ b/fulmarlink/gatewaystate.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "fulmarlink/clock.h"
@@ -32,6 +33,9 @@
 
 /** What all requests of one entry's process share. Used by one thread. */
 struct GatewayState {
+    /** Assumed until the list of entries has been read, so that an entry that has just started takes a small part of a budget. */
+    static constexpr unsigned kEntriesUnknown = 16;
+
     GatewayState(GatewaySettings theSettings, const Clock &theClock, Counters &theCounters, const CallerProtocol &theProtocol);
 
     PoolState &pool(const std::string &name);
@@ -50,8 +54,8 @@
     TargetConnections *connections = nullptr;
     std::map<std::string, PoolState> pools;
     Random random;
-    unsigned entries = 1; ///< entries that share budgets, this one included
-    bool draining = false;
+    unsigned entries = kEntriesUnknown; ///< entries that share budgets, this one included
+    std::optional<TimePoint> drainBegan; ///< set: the process is leaving
     unsigned exchanges = 0; ///< requests that are not answered yet
 };
 
--- a/fulmarlink/mapkeeper.cpp
+++ b/fulmarlink/mapkeeper.cpp
@@ -23,7 +23,10 @@
 namespace
 {
 
-constexpr Duration kRound = std::chrono::milliseconds(600); ///< between two reads of counts; demand turns every two to four seconds
+constexpr Duration kRound = std::chrono::milliseconds(80); ///< between two looks at the pace, which cost nothing
+constexpr Duration kSettle = std::chrono::milliseconds(300); ///< after a switch the pace is measured anew
+constexpr Duration kLongestRest = std::chrono::milliseconds(5000); ///< without a look at the counts
+constexpr double kSlowdown = 1.25; ///< of the pace since the last switch: demand has turned, or the batch has grown
 constexpr Duration kWindow = std::chrono::milliseconds(300); ///< of the counts that a plan rests on: some passes, short against the time in which demand turns
 constexpr Duration kFollowerRound = std::chrono::milliseconds(250);
 constexpr Duration kStandstill = std::chrono::milliseconds(700); ///< longer than any pass, shorter than callers' patience
@@ -34,10 +37,10 @@
 constexpr Duration kShortestPass = std::chrono::milliseconds(18); ///< of a group that has work
 constexpr Duration kLongestPrepare = std::chrono::seconds(4); ///< a copy that takes longer is given up; it does no harm
 constexpr double kLeastImprovement
-    = 0.1; ///< of the busiest rank's load over the mean; below it a switch costs more in orders and copies than the shorter passes bring
+    = 0.2; ///< of the busiest rank's load over the mean; below it a switch costs more in orders and copies than the shorter passes bring
 constexpr double kLeastChoices = 2000; ///< in the counts of a round, so that noise moves nothing
 constexpr unsigned kSampledRanks = 8; ///< of a group; requests spread evenly, so these stand for all
-constexpr unsigned kNewPerRank = 4; ///< copies of one rank, so that a switch is in force before demand turns again
+constexpr Duration kCopyBudget = std::chrono::milliseconds(460); ///< for the copies of one rank, so that a switch is in force before demand turns again
 constexpr std::uint64_t kVersionsOfTerm = 4096;
 constexpr double kCopyMargin = 1.03;
 constexpr double kMegabitsPerMegabyte = 8;
@@ -155,7 +158,7 @@
 
 asio::awaitable<void> MapKeeper::run()
 {
-    while (!m_stopped && !m_state.draining) {
+    while (!m_stopped && !m_state.drainBegan) {
         const bool leader = m_lease.holds(m_state.clock.now());
         co_await sleep(leader ? kRound : kFollowerRound);
         if (!engine() || m_state.targets.listed(m_pool).empty()) {
@@ -283,6 +286,7 @@
     }
     co_await waitFor(gather);
     m_countsAt = m_state.clock.now();
+    m_calmPause.reset();
     for (unsigned i = 0; i < sampled; ++i) {
         const ExpertCountsRead &read = gather->counts[i];
         if (read.error) {
@@ -296,6 +300,21 @@
     }
 }
 
+/** Whether events come so much more slowly than since the last plan that the counts are worth their price. */
+bool MapKeeper::paceTurned()
+{
+    const TimePoint now = m_state.clock.now();
+    const auto pause = m_state.pool(m_pool).gate.recentPause(now);
+    if (now - m_countsAt < kSettle || !pause) {
+        return false;
+    }
+    if (now - m_countsAt > kLongestRest) {
+        return true;
+    }
+    m_calmPause = m_calmPause ? std::min(*m_calmPause, *pause) : *pause;
+    return std::chrono::duration<double>(*pause) > std::chrono::duration<double>(*m_calmPause) * kSlowdown;
+}
+
 asio::awaitable<void> MapKeeper::leaderRound()
 {
     if (!m_mapKnown) {
@@ -308,13 +327,13 @@
             co_return;
         }
     }
-    if (m_state.clock.now() - m_countsAt > kWindow * 2) {
-        co_await readCounts(); // the window's beginning
-        m_load.take();
-        co_await sleep(kWindow);
+    if (!paceTurned()) {
+        co_return;
     }
+    co_await readCounts(); // the window's beginning
+    m_load.take();
+    co_await sleep(kWindow);
     co_await readCounts();
-    logChange("counts-read", {{"pool", m_pool}, {"map", std::to_string(m_knownVersion)}, {"choices", std::to_string(m_load.gathered())}});
     if (!m_mapKnown || m_load.gathered() < kLeastChoices) {
         co_return;
     }
@@ -323,7 +342,8 @@
     ExpertPlanOptions options;
     options.placements = spec.placements;
     options.newPerSwitch = spec.newPerSwitch;
-    options.newPerRank = kNewPerRank;
+    const double copySeconds = spec.expertMb * kMegabitsPerMegabyte / std::max(1.0, spec.linkMbps);
+    options.newPerRank = static_cast<unsigned>(std::max(1.0, std::chrono::duration<double>(kCopyBudget).count() / copySeconds));
     if (load.size() != m_map.size() || load.front().size() != spec.experts) {
         co_return;
     }
@@ -382,6 +402,7 @@
                {"pass", std::to_string(m_switch.pass())},
                {"copy_ms", std::to_string(copyTime.count() / 1000)},
                {"ms", std::to_string((m_state.clock.now() - began).count() / 1000)}});
+    m_countsAt = m_state.clock.now();
     if (done) {
         m_map = std::move(plan.map);
         m_knownVersion = version;
--- a/fulmarlink/mapkeeper.h
+++ b/fulmarlink/mapkeeper.h
@@ -51,6 +51,7 @@
     boost::asio::awaitable<void> countsOne(unsigned index, std::shared_ptr<Gather> gather);
     boost::asio::awaitable<void> waitFor(std::shared_ptr<Gather> gather);
     bool standsStill() const;
+    bool paceTurned();
     std::optional<EngineSpec> engine() const;
     std::string mapText() const;
 
@@ -72,6 +73,7 @@
     GroupMap m_map;
     std::uint64_t m_switches = 0; ///< in this term, so that versions are unique
     TimePoint m_lastOrder{};
+    std::optional<Duration> m_calmPause; ///< the shortest mean pause since counts were last read
     TimePoint m_countsAt{}; ///< when counts were last read
     unsigned m_sample = 0; ///< rotates the ranks whose counts are read
     bool m_stopped = false;
--- a/fulmarlink/poolgate.cpp
+++ b/fulmarlink/poolgate.cpp
@@ -57,6 +57,24 @@
     m_late += ratio > 1 ? 1 : 0;
 }
 
+void PoolGate::pauseSeen(Duration pause, TimePoint now)
+{
+    m_pauses.emplace_back(now, pause);
+    m_pauseSum += pause;
+}
+
+std::optional<Duration> PoolGate::recentPause(TimePoint now)
+{
+    while (!m_pauses.empty() && now - m_pauses.front().first > kPaceWindow) {
+        m_pauseSum -= m_pauses.front().second;
+        m_pauses.pop_front();
+    }
+    if (m_pauses.size() < kLeastPauses) {
+        return std::nullopt;
+    }
+    return m_pauseSum / static_cast<Duration::rep>(m_pauses.size());
+}
+
 void PoolGate::refusalSeen(TimePoint now)
 {
     if (++m_refusals == kRefusalsToStall) {
--- a/fulmarlink/poolgate.h
+++ b/fulmarlink/poolgate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <deque>
+#include <optional>
 #include <string_view>
 
 #include "fulmarlink/clock.h"
@@ -42,6 +43,8 @@
 public:
     static constexpr unsigned kRefusalsToStall = 4;
     static constexpr Duration kProbeInterval = std::chrono::milliseconds(150);
+    static constexpr Duration kPaceWindow = std::chrono::milliseconds(250); ///< a few passes of a loaded group
+    static constexpr unsigned kLeastPauses = 6;
     static constexpr double kMaxCeiling = 1.5; ///< runners queue about two requests for each slot; half a slot's worth still begins in time
     static constexpr double kMinCeiling = 0.25;
 
@@ -49,6 +52,10 @@
 
     /** A stream's pause, or its wait for the first event, took @p ratio times what is on time. */
     void paceSeen(double ratio, TimePoint now);
+    /** A stream's events came @p pause apart; feeds recentPause(). */
+    void pauseSeen(Duration pause, TimePoint now);
+    /** Mean pause between events of the last kPaceWindow; nothing if fewer than kLeastPauses were seen. */
+    std::optional<Duration> recentPause(TimePoint now);
     /** A runner of the pool proved that it did not run a request. */
     void refusalSeen(TimePoint now);
     /** A runner of the pool has begun to answer. */
@@ -67,6 +74,8 @@
     TimePoint m_nextProbe{};
     TimePoint m_lastAnswer{};
     TimePoint m_windowBegan{};
+    std::deque<std::pair<TimePoint, Duration>> m_pauses; ///< of the last kPaceWindow
+    Duration m_pauseSum{0};
     unsigned m_seen = 0;
     unsigned m_late = 0;
 };
--- a/fulmarlink/targettable.cpp
+++ b/fulmarlink/targettable.cpp
@@ -146,6 +146,20 @@
     }
 }
 
+void TargetTable::heard(const std::string &id, TimePoint now)
+{
+    const auto it = m_states.find(id);
+    if (it != m_states.end()) {
+        it->second.heardAt = now;
+    }
+}
+
+TimePoint TargetTable::lastHeard(const std::string &id) const
+{
+    const auto it = m_states.find(id);
+    return it == m_states.end() ? TimePoint{} : it->second.heardAt;
+}
+
 void TargetTable::succeeded(const std::string &id)
 {
     const auto it = m_states.find(id);
--- a/fulmarlink/targettable.h
+++ b/fulmarlink/targettable.h
@@ -78,6 +78,10 @@
     void loadReported(const std::string &id, TargetLoad load, TimePoint now);
     /** Requests of the other entries there, as one of their reports says; replaces what the runner's own report implied. */
     void setOthers(const std::map<std::string, unsigned> &others, TimePoint now);
+    /** Bytes of an answer came from the runner. */
+    void heard(const std::string &id, TimePoint now);
+    /** When that was last; the epoch if never. */
+    TimePoint lastHeard(const std::string &id) const;
     void succeeded(const std::string &id);
     /** A failure that speaks against the runner. True if it is passed over from now on. */
     bool failed(const std::string &id, TimePoint now);
@@ -99,6 +103,7 @@
         unsigned own = 0;
         unsigned others = 0;
         std::optional<TimePoint> othersAt;
+        TimePoint heardAt{};
         unsigned failures = 0; ///< in a row
         TimePoint ejectedUntil{};
     };
--- a/fulmarlink/windowbudget.cpp
+++ b/fulmarlink/windowbudget.cpp
@@ -24,8 +24,8 @@
 bool WindowBudget::takeRepeat(TimePoint now)
 {
     expire(now);
-    const double shared = kShareUsed * m_options.slack / std::max(1U, m_options.entries);
-    const double allowed = m_options.ratio * static_cast<double>(m_requests.size()) + shared;
+    const double shared = m_options.slack / std::max(1U, m_options.entries);
+    const double allowed = kShareUsed * (m_options.ratio * static_cast<double>(m_requests.size()) + shared);
     if (static_cast<double>(m_repeats.size()) + 1 > allowed) {
         return false;
     }
--- a/fulmarlink/windowbudget.h
+++ b/fulmarlink/windowbudget.h
@@ -19,16 +19,16 @@
  *
  * Each entry keeps to the ratio of its own requests and to its part of the slack, so the
  * sum over all entries keeps to the ratio and the slack without a message between them.
- * kShareUsed leaves a tenth of the slack for an entry that has just been replaced and
- * has forgotten what it sent.
+ * kShareUsed leaves the rest of both for entries that have just been restarted and have
+ * forgotten what they sent.
  *
- * Contract: in any window the repeats granted are at most ratio x requests of that
- * window + kShareUsed x slack / entries. O(1) amortised; not thread-safe.
+ * Contract: in any window the repeats granted are at most kShareUsed x (ratio x requests
+ * of that window + slack / entries). O(1) amortised; not thread-safe.
  */
 class WindowBudget
 {
 public:
-    static constexpr double kShareUsed = 0.9;
+    static constexpr double kShareUsed = 0.7;
 
     explicit WindowBudget(WindowBudgetOptions options);
 
