--- a/fulmarlink/groupswitch.cpp
+++ b/fulmarlink/groupswitch.cpp
@@ -5,9 +5,11 @@
 // for P is refused once P has begun, and until then repeats what already holds; a go for P
 // finds no hold, since P is held once; a prepare of an older version than the rank has had
 // is refused. V is unique to a term, so it names one content. An owner that takes over and
-// finds P held arms the version that all have prepared, as its predecessor would have: an
-// arm that the predecessor still sends says the same. It never lets go while an arm may be
-// under way for some ranks only. A rank that is lost ends the epoch, and with it all that
+// finds P held arms the version that all have prepared, as the owner would have: an arm that
+// the owner still sends says the same. So everybody may finish a switch at any time, beside
+// its owner too, and reports that are old only lead to orders that are refused. Only where
+// a rank has not prepared is the pass let go without arms, and only once the owner's lease
+// has ended. A rank that is lost ends the epoch, and with it all that
 // was prepared, armed or held.
 
 #include "fulmarlink/groupswitch.h"
@@ -50,10 +52,11 @@
     m_map = std::move(map);
     m_holder = 0;
     m_pass = 0;
+    m_recovering = false;
     enter(SwitchPhase::Prepare);
 }
 
-bool GroupSwitch::recover(const std::vector<RankReport> &reports)
+bool GroupSwitch::recover(const std::vector<RankReport> &reports, bool ownerGone)
 {
     m_phase = SwitchPhase::Idle;
     const auto held = std::ranges::find_if(reports, [](const RankReport &report) {
@@ -77,6 +80,10 @@
     const bool prepared = m_version != 0 && std::ranges::all_of(reports, [&](const RankReport &report) {
                               return report.prepared == m_version || report.armed == m_version || report.map == m_version;
                           });
+    if (isHeld && !prepared && !ownerGone) {
+        return false; // its owner may be about to arm
+    }
+    m_recovering = true;
     if (!isHeld) {
         enter(SwitchPhase::Hold); // the pass must not begin before every rank is armed
     } else {
@@ -165,6 +172,10 @@
     case OrderResult::Unknown:
         break; // sent again
     case OrderResult::Refused:
+        if (m_recovering && m_phase == SwitchPhase::Hold) {
+            m_phase = SwitchPhase::Idle; // the pass has begun, so every rank was armed for it
+            return;
+        }
         m_needsPass = m_phase == SwitchPhase::Hold;
         state.stuck = m_phase != SwitchPhase::Arm || ++state.refusals >= kArmRefusals;
         break;
@@ -206,7 +217,10 @@
     const bool disturbed = m_phase == SwitchPhase::Prepare && std::ranges::any_of(reports, [](const RankReport &report) {
                                return report.armed != 0 || report.heldPass;
                            });
-    if (!sameGroup || disturbed) {
+    const bool superseded = std::ranges::any_of(reports, [&](const RankReport &report) {
+        return report.map > m_version && m_version != 0;
+    });
+    if (!sameGroup || disturbed || superseded) {
         m_phase = SwitchPhase::Idle;
         return;
     }
--- a/fulmarlink/groupswitch.h
+++ b/fulmarlink/groupswitch.h
@@ -53,8 +53,11 @@
 
     /** Begins a switch of a group whose ranks all use one map, with nothing armed or held. @p version is higher than any before. */
     void begin(unsigned ranks, std::uint64_t epoch, std::uint64_t version, GroupMap map);
-    /** Finishes what the reports, of all ranks in rank order, show as under way. False if there is nothing to do. */
-    bool recover(const std::vector<RankReport> &reports);
+    /**
+     * Finishes what the reports, of all ranks in rank order, show as under way; beside its owner too.
+     * @p ownerGone: nobody else may be driving it. False if there is nothing to do.
+     */
+    bool recover(const std::vector<RankReport> &reports, bool ownerGone);
     /**
      * The copies of all ranks must be there by now. Arm orders find out: a rank refuses
      * them until its copy is there, while the pass is held.
@@ -100,6 +103,7 @@
     std::uint64_t m_pass = 0;
     unsigned m_holder = 0; ///< the rank that holds the pass
     bool m_needsPass = false;
+    bool m_recovering = false;
     GroupMap m_map;
 };
 
--- a/fulmarlink/mapkeeper.cpp
+++ b/fulmarlink/mapkeeper.cpp
@@ -27,13 +27,15 @@
 constexpr Duration kSettle = std::chrono::milliseconds(300); ///< after a switch the pace is measured anew
 constexpr Duration kLongestRest = std::chrono::milliseconds(5000); ///< without a look at the counts
 constexpr double kSlowdown = 1.25; ///< of the pace since the last switch: demand has turned, or the batch has grown
-constexpr Duration kWindow = std::chrono::milliseconds(300); ///< of the counts that a plan rests on: some passes, short against the time in which demand turns
-constexpr Duration kFollowerRound = std::chrono::milliseconds(250);
-constexpr Duration kStandstill = std::chrono::milliseconds(700); ///< longer than any pass, shorter than callers' patience
+constexpr Duration kWindow = std::chrono::milliseconds(180); ///< of the counts that a plan rests on: some passes, short against the time in which demand turns
+constexpr Duration kFollowerRound = std::chrono::milliseconds(150);
+constexpr Duration kStandstill = std::chrono::milliseconds(500); ///< longer than any pass, shorter than callers' patience
+constexpr Duration kHelpSpread = std::chrono::milliseconds(250); ///< entries that see a standstill look at the reports one after the other
+constexpr Duration kLongestHelp = std::chrono::seconds(3); ///< then it looks again
 constexpr Duration kReportMargin = std::chrono::milliseconds(80); ///< beyond the reports' stated lag
 constexpr Duration kFreshReports = std::chrono::milliseconds(40); ///< a pass chosen from reports read this long ago is still ahead
 constexpr Duration kPollPrepared = std::chrono::milliseconds(120); ///< when a copy takes longer than it should
-constexpr Duration kHoldMargin = std::chrono::milliseconds(120); ///< for the hold and all arms to arrive before the held pass is reached
+constexpr Duration kUsualPass = std::chrono::milliseconds(50); ///< where no events were seen lately
 constexpr Duration kShortestPass = std::chrono::milliseconds(18); ///< of a group that has work
 constexpr Duration kLongestPrepare = std::chrono::seconds(4); ///< a copy that takes longer is given up; it does no harm
 constexpr double kLeastImprovement
@@ -164,13 +166,14 @@
         if (!engine() || m_state.targets.listed(m_pool).empty()) {
             continue;
         }
-        co_await keepLease();
-        if (!m_lease.holds(m_state.clock.now())) {
-            continue;
-        }
         if (standsStill()) {
-            co_await recover();
-        } else {
+            co_await sleep(Duration(static_cast<Duration::rep>(m_state.random() % kHelpSpread.count()))); // one entry is enough
+            if (standsStill()) {
+                co_await recover();
+            }
+        }
+        co_await keepLease();
+        if (m_lease.holds(m_state.clock.now()) && !standsStill()) {
             co_await leaderRound();
         }
     }
@@ -212,8 +215,6 @@
                   {{"pool", m_pool}, {"asked", std::to_string(targets.size())}, {"got", std::to_string(order.size())}, {"ranks", std::to_string(size)}});
         co_return false;
     }
-    m_earlierPass = m_reports.empty() ? 0 : m_reports.front().pass;
-    m_earlierAt = m_reportsAt;
     m_ranks.clear();
     m_reports.clear();
     for (const auto &[rank, index] : order) {
@@ -364,7 +365,8 @@
     const Duration lag = engine()->reportLag + kReportMargin;
     co_await sleep(std::max(Duration(0), m_lastOrder + lag - m_state.clock.now()));
     const bool complete = co_await readReports();
-    if (!complete || !m_switch.recover(m_reports)) {
+    const bool leader = m_lease.holds(m_state.clock.now());
+    if (!complete || !m_switch.recover(m_reports, leader)) {
         co_return;
     }
     m_state.counters.add(m_recoveries);
@@ -375,7 +377,7 @@
                 {"pass", std::to_string(m_switch.pass())},
                 {"reports", m_reports.front().raw}});
     m_mapKnown = false;
-    co_await drive(Duration(0));
+    co_await drive(Duration(0), true);
 }
 
 asio::awaitable<void> MapKeeper::change(ExpertPlan plan)
@@ -387,7 +389,7 @@
     const TimePoint began = m_state.clock.now();
     m_switch.begin(static_cast<unsigned>(m_ranks.size()), m_knownEpoch, version, plan.map);
     m_mapKnown = false;
-    co_await drive(copyTime);
+    co_await drive(copyTime, false);
     const bool done = m_switch.phase() == SwitchPhase::Idle && m_switch.done() > 0;
     m_state.counters.add(done ? m_switchesDone : m_switchesGivenUp);
     m_state.counters.add(m_copies, plan.copies);
@@ -444,39 +446,40 @@
     }
 }
 
-/** A pass that the group reaches only after the hold and all arms have arrived. */
-void MapKeeper::choosePass(double marginFactor)
+/**
+ * The next pass that surely has not begun, by the reports and the pace of the events here.
+ * If it has begun all the same, the hold is refused within a round trip and a later one is
+ * tried, which costs less than a pass more of waiting.
+ */
+void MapKeeper::choosePass(unsigned refusals)
 {
     std::uint64_t pass = 0;
     for (const RankReport &report : m_reports) {
         pass = std::max(pass, report.pass);
     }
-    Duration length = kShortestPass;
-    const auto passes = static_cast<Duration::rep>(m_reports.front().pass - std::min(m_reports.front().pass, m_earlierPass));
-    if (passes > 0) {
-        length = std::max(kShortestPass, (m_reportsAt - m_earlierAt) / passes * 3 / 4);
-    }
-    const Duration ahead = engine()->reportLag + Duration(static_cast<Duration::rep>(static_cast<double>(kHoldMargin.count()) * marginFactor));
-    m_switch.holdAt(pass + static_cast<std::uint64_t>(ahead / length) + 2);
+    const TimePoint now = m_state.clock.now();
+    const Duration length = std::max(kShortestPass, m_state.pool(m_pool).gate.recentPause(now).value_or(kUsualPass));
+    const Duration ahead = engine()->reportLag + (now - m_reportsAt);
+    m_switch.holdAt(pass + static_cast<std::uint64_t>(ahead / length) + 1 + refusals);
 }
 
-asio::awaitable<void> MapKeeper::drive(Duration copyTime)
+asio::awaitable<void> MapKeeper::drive(Duration copyTime, bool helping)
 {
     const TimePoint began = m_state.clock.now();
     const Duration lag = engine()->reportLag + kReportMargin;
-    double marginFactor = 1;
+    unsigned refusals = 0;
     while (m_switch.phase() != SwitchPhase::Idle) {
         const TimePoint now = m_state.clock.now();
-        if (!m_lease.holds(now)) {
+        if (!helping && !m_lease.holds(now)) {
             co_await keepLease();
         }
-        if (!m_lease.holds(m_state.clock.now()) || (m_switch.phase() == SwitchPhase::Prepare && now - began > kLongestPrepare + copyTime)) {
+        if ((!helping && !m_lease.holds(m_state.clock.now())) || (helping && now - began > kLongestHelp)
+            || (m_switch.phase() == SwitchPhase::Prepare && now - began > kLongestPrepare + copyTime)) {
             co_return;
         }
         const bool fresh = now - m_reportsAt < kFreshReports;
         if (m_switch.needsPass() && fresh) {
-            choosePass(marginFactor);
-            marginFactor *= 2;
+            choosePass(refusals++);
             continue;
         }
         if (m_switch.needsReports() || m_switch.needsPass()) {
--- a/fulmarlink/mapkeeper.h
+++ b/fulmarlink/mapkeeper.h
@@ -18,8 +18,8 @@
 
 /**
  * Keeps the expert map of a pool's group near what is in demand: holds the pool's lease,
- * reads counts, plans, and drives GroupSwitch. One entry of all does it at a time; the
- * others take over when it no longer renews its lease.
+ * reads counts, plans, and drives GroupSwitch. One entry of all does it at a time; any
+ * entry that sees the group stand still finishes a switch that its owner has left.
  *
  * How to use: run() once for each pool with experts; it ends when stop() was called.
  */
@@ -41,9 +41,9 @@
     boost::asio::awaitable<void> readCounts();
     boost::asio::awaitable<void> recover();
     boost::asio::awaitable<void> change(ExpertPlan plan);
-    boost::asio::awaitable<void> drive(Duration copyTime);
+    boost::asio::awaitable<void> drive(Duration copyTime, bool helping);
     boost::asio::awaitable<void> sendOrders(std::vector<AddressedOrder> orders);
-    void choosePass(double marginFactor);
+    void choosePass(unsigned refusals);
     boost::asio::awaitable<void> sleep(Duration duration);
     boost::asio::awaitable<void> sendOne(unsigned rank, RankOrder order, std::shared_ptr<Gather> gather);
     boost::asio::awaitable<void> reportOne(unsigned index, std::shared_ptr<Gather> gather);
@@ -65,8 +65,6 @@
     std::vector<TargetInfo> m_ranks; ///< in rank order, of the last complete reports
     std::vector<RankReport> m_reports; ///< in rank order
     TimePoint m_reportsAt{};
-    std::uint64_t m_earlierPass = 0; ///< of the reports before
-    TimePoint m_earlierAt{};
     std::uint64_t m_knownEpoch = 0; ///< of m_map
     std::uint64_t m_knownVersion = 0; ///< of m_map
     bool m_mapKnown = false;
