Shorter lease, cheap looks at it, a leader that can't reach ranks leaves it

Change: term 3 s, taken after 3.7 s, followers look with stale reads, a leader that sees a standstill and can't read all reports leaves for 4 s; without streams of its own it looks at counts each 12 s only.

--- a/fulmarlink/groupswitch.cpp
+++ b/fulmarlink/groupswitch.cpp
@@ -80,8 +80,8 @@
     const bool prepared = m_version != 0 && std::ranges::all_of(reports, [&](const RankReport &report) {
                               return report.prepared == m_version || report.armed == m_version || report.map == m_version;
                           });
-    if (isHeld && !prepared && !ownerGone) {
-        return false; // its owner may be about to arm
+    if (isHeld && !prepared && (!ownerGone || armedRanks > 0)) {
+        return false; // its owner may be about to arm, or a rank that is lost ends the epoch
     }
     m_recovering = true;
     if (!isHeld) {
--- a/fulmarlink/leasekeeper.cpp
+++ b/fulmarlink/leasekeeper.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr Duration kReadInterval = std::chrono::milliseconds(1500); ///< of those that wait for the lease
+constexpr Duration kReadInterval = std::chrono::milliseconds(600); ///< of those that wait for the lease
 
 } // namespace
 
@@ -26,10 +26,11 @@
         return now - m_renewed >= m_options.renewAfter ? Step::Write : Step::Wait;
     }
     const bool free = m_seen.revision == 0 || m_seen.holder.empty() || m_seen.holder == m_options.self;
-    if (free || now - m_seenChanged >= m_options.takeAfter) {
+    const bool mayTake = now >= m_yieldedUntil;
+    if (mayTake && (free || now - m_seenChanged >= m_options.takeAfter)) {
         return Step::Write;
     }
-    return now - m_lastRead >= kReadInterval ? Step::Read : Step::Wait;
+    return now - m_lastRead >= kReadInterval ? Step::Look : Step::Wait;
 }
 
 LeaseRecord LeaseKeeper::toWrite() const
@@ -78,6 +79,13 @@
     m_renewed = began;
 }
 
+void LeaseKeeper::yield(TimePoint until)
+{
+    m_holding = false;
+    m_known = false;
+    m_yieldedUntil = until;
+}
+
 bool LeaseKeeper::holds(TimePoint now) const
 {
     return m_holding && now - m_renewed < m_options.term;
--- a/fulmarlink/leasekeeper.h
+++ b/fulmarlink/leasekeeper.h
@@ -10,9 +10,9 @@
 
 struct LeaseOptions {
     std::string self;
-    Duration term = std::chrono::milliseconds(4000); ///< a holder may act for so long after the beginning of its last renewal
-    Duration renewAfter = std::chrono::milliseconds(1600); ///< leaves room for one renewal that is lost
-    Duration takeAfter = std::chrono::milliseconds(5000); ///< the others wait for so long without a renewal; longer than the term by the drift of any clock
+    Duration term = std::chrono::milliseconds(3000); ///< a holder may act for so long after the beginning of its last renewal
+    Duration renewAfter = std::chrono::milliseconds(900); ///< leaves room for two renewals that are lost
+    Duration takeAfter = std::chrono::milliseconds(3700); ///< the others wait for so long without a renewal; longer than the term by the drift of any clock
 };
 
 /**
@@ -30,7 +30,8 @@
     enum class Step : std::uint8_t {
         Wait,
         Write, ///< write the record that toWrite() gives
-        Read,
+        Read, ///< what the store holds now
+        Look, ///< a cheap read, to see whether the holder renews
     };
 
     explicit LeaseKeeper(LeaseOptions options);
@@ -43,6 +44,8 @@
     /** What to write so that others may take over at once. */
     LeaseRecord released() const;
 
+    /** The holder can't do its work: it leaves the lease and does not take it again before @p until. */
+    void yield(TimePoint until);
     bool holds(TimePoint now) const;
     /** Unique to this term of holding; rises from holder to holder. */
     std::uint64_t termId() const;
@@ -57,6 +60,7 @@
     std::uint64_t m_term = 0;
     TimePoint m_renewed{}; ///< beginning of the last renewal that was confirmed
     TimePoint m_lastRead{};
+    TimePoint m_yieldedUntil{};
 };
 
 } // namespace fulmarlink
--- a/fulmarlink/mapkeeper.cpp
+++ b/fulmarlink/mapkeeper.cpp
@@ -26,11 +26,13 @@
 constexpr Duration kRound = std::chrono::milliseconds(80); ///< between two looks at the pace, which cost nothing
 constexpr Duration kSettle = std::chrono::milliseconds(300); ///< after a switch the pace is measured anew
 constexpr Duration kLongestRest = std::chrono::milliseconds(5000); ///< without a look at the counts
+constexpr Duration kLongestBlindRest = std::chrono::seconds(12); ///< where this host has no streams by whose pace it could tell
 constexpr double kSlowdown = 1.25; ///< of the pace since the last switch: demand has turned, or the batch has grown
 constexpr Duration kWindow = std::chrono::milliseconds(180); ///< of the counts that a plan rests on: some passes, short against the time in which demand turns
 constexpr Duration kFollowerRound = std::chrono::milliseconds(150);
 constexpr Duration kStandstill = std::chrono::milliseconds(500); ///< longer than any pass, shorter than callers' patience
 constexpr Duration kHelpSpread = std::chrono::milliseconds(250); ///< entries that see a standstill look at the reports one after the other
+constexpr Duration kYield = std::chrono::seconds(4); ///< a partition lasts seconds; by then another entry has the lease
 constexpr Duration kLongestHelp = std::chrono::seconds(3); ///< then it looks again
 constexpr Duration kReportMargin = std::chrono::milliseconds(80); ///< beyond the reports' stated lag
 constexpr Duration kFreshReports = std::chrono::milliseconds(40); ///< a pass chosen from reports read this long ago is still ahead
@@ -132,8 +134,8 @@
 asio::awaitable<void> MapKeeper::keepLease()
 {
     const LeaseKeeper::Step step = m_lease.step(m_state.clock.now());
-    if (step == LeaseKeeper::Step::Read) {
-        const LeaseRead read = co_await m_platform.readLease(m_pool);
+    if (step == LeaseKeeper::Step::Read || step == LeaseKeeper::Step::Look) {
+        const LeaseRead read = co_await m_platform.readLease(m_pool, step == LeaseKeeper::Step::Look);
         m_lease.readDone(read, m_state.clock.now());
     } else if (step == LeaseKeeper::Step::Write) {
         const TimePoint began = m_state.clock.now();
@@ -306,12 +308,12 @@
 {
     const TimePoint now = m_state.clock.now();
     const auto pause = m_state.pool(m_pool).gate.recentPause(now);
+    if (now - m_countsAt > (pause ? kLongestRest : kLongestBlindRest)) {
+        return true;
+    }
     if (now - m_countsAt < kSettle || !pause) {
         return false;
     }
-    if (now - m_countsAt > kLongestRest) {
-        return true;
-    }
     m_calmPause = m_calmPause ? std::min(*m_calmPause, *pause) : *pause;
     return std::chrono::duration<double>(*pause) > std::chrono::duration<double>(*m_calmPause) * kSlowdown;
 }
@@ -360,12 +362,23 @@
     }
 }
 
+asio::awaitable<void> MapKeeper::leave()
+{
+    logWarning("lease-left", {{"pool", m_pool}, {"term", std::to_string(m_lease.termId())}});
+    const LeaseRecord released = m_lease.released();
+    m_lease.yield(m_state.clock.now() + kYield);
+    co_await m_platform.writeLease(m_pool, released);
+}
+
 asio::awaitable<void> MapKeeper::recover()
 {
     const Duration lag = engine()->reportLag + kReportMargin;
     co_await sleep(std::max(Duration(0), m_lastOrder + lag - m_state.clock.now()));
     const bool complete = co_await readReports();
     const bool leader = m_lease.holds(m_state.clock.now());
+    if (!complete && leader) {
+        co_await leave(); // another entry may reach the ranks
+    }
     if (!complete || !m_switch.recover(m_reports, leader)) {
         co_return;
     }
--- a/fulmarlink/mapkeeper.h
+++ b/fulmarlink/mapkeeper.h
@@ -40,6 +40,7 @@
     boost::asio::awaitable<bool> readPlacements();
     boost::asio::awaitable<void> readCounts();
     boost::asio::awaitable<void> recover();
+    boost::asio::awaitable<void> leave();
     boost::asio::awaitable<void> change(ExpertPlan plan);
     boost::asio::awaitable<void> drive(Duration copyTime, bool helping);
     boost::asio::awaitable<void> sendOrders(std::vector<AddressedOrder> orders);
--- a/fulmarlink/platform.h
+++ b/fulmarlink/platform.h
@@ -71,7 +71,8 @@
     virtual boost::asio::awaitable<std::error_code> announceEntry(EntryInfo self) = 0;
     /** May be seconds old. */
     virtual boost::asio::awaitable<EntriesRead> readEntries() = 0;
-    virtual boost::asio::awaitable<LeaseRead> readLease(std::string group) = 0;
+    /** @p allowStale: cheaper, and may be seconds old; a write on what it shows is refused if it was. */
+    virtual boost::asio::awaitable<LeaseRead> readLease(std::string group, bool allowStale) = 0;
     /** Writes if the record still has @p record.revision; 0 demands that there is none. */
     virtual boost::asio::awaitable<LeaseRead> writeLease(std::string group, LeaseRecord record) = 0;
 
