A lapsed lease begins a new term, so that map versions never come twice

Change: a renewal that begins after the term has ended starts a new term; the count of switches is never reset; a switch that failed is planned again at the next turn of the pace.

--- a/fulmarlink/leasekeeper.cpp
+++ b/fulmarlink/leasekeeper.cpp
@@ -70,7 +70,7 @@
         m_holding = m_holding && written.error != ResultCode::VersionConflict;
         return;
     }
-    if (!m_holding) {
+    if (!m_holding || began - m_renewed >= m_options.term) { // it had lapsed: somebody else may have held it meanwhile
         m_term = written.record.revision;
     }
     m_holding = true;
--- a/fulmarlink/mapkeeper.cpp
+++ b/fulmarlink/mapkeeper.cpp
@@ -45,7 +45,7 @@
 constexpr double kLeastChoices = 2000; ///< in the counts of a round, so that noise moves nothing
 constexpr unsigned kSampledRanks = 8; ///< of a group; requests spread evenly, so these stand for all
 constexpr Duration kCopyBudget = std::chrono::milliseconds(460); ///< for the copies of one rank, so that a switch is in force before demand turns again
-constexpr std::uint64_t kVersionsOfTerm = 4096;
+constexpr std::uint64_t kVersionsOfTerm = 1U << 20; ///< at a switch each three seconds a term would have to last a month to run out of them
 constexpr double kCopyMargin = 1.03;
 constexpr double kMegabitsPerMegabyte = 8;
 
@@ -153,7 +153,6 @@
                    {"renewals", std::to_string(m_lease.record().renewals)}});
         m_mapKnown = false;
         m_load.clear();
-        m_switches = 0;
         if (leader) {
             co_await recover();
         }
@@ -396,7 +395,7 @@
 asio::awaitable<void> MapKeeper::change(ExpertPlan plan)
 {
     const EngineSpec spec = *engine();
-    const std::uint64_t version = m_lease.termId() * kVersionsOfTerm + ++m_switches;
+    const std::uint64_t version = m_lease.termId() * kVersionsOfTerm + ++m_switches % kVersionsOfTerm;
     const double copySeconds = plan.mostCopies * spec.expertMb * kMegabitsPerMegabyte / std::max(1.0, spec.linkMbps);
     const auto copyTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(copySeconds * kCopyMargin));
     const TimePoint began = m_state.clock.now();
@@ -417,8 +416,9 @@
                {"pass", std::to_string(m_switch.pass())},
                {"copy_ms", std::to_string(copyTime.count() / 1000)},
                {"ms", std::to_string((m_state.clock.now() - began).count() / 1000)}});
-    m_countsAt = m_state.clock.now();
     if (done) {
+        m_countsAt = m_state.clock.now();
+        m_calmPause.reset();
         m_map = std::move(plan.map);
         m_knownVersion = version;
         m_mapKnown = true;
--- a/fulmarlink/mapkeeper.h
+++ b/fulmarlink/mapkeeper.h
@@ -70,7 +70,7 @@
     std::uint64_t m_knownVersion = 0; ///< of m_map
     bool m_mapKnown = false;
     GroupMap m_map;
-    std::uint64_t m_switches = 0; ///< in this term, so that versions are unique
+    std::uint64_t m_switches = 0; ///< of this process; with the term it makes versions unique
     TimePoint m_lastOrder{};
     std::optional<Duration> m_calmPause; ///< the shortest mean pause since counts were last read
     TimePoint m_countsAt{}; ///< when counts were last read
