--- a/fulmarlink/gatewayexchange.cpp
+++ b/fulmarlink/gatewayexchange.cpp
@@ -179,7 +179,12 @@
         load.leastLoadKnown = true;
     }
     const GateDecision decision = pool.gate.decide(load, m_arrived, m_state.random);
-    return decision.admitted || refuse(decision.refusal, decision.retryAfter);
+    if (!decision.admitted) {
+        m_reason = "load " + std::to_string(load.leastLoad).substr(0, 4) + " ceiling " + std::to_string(pool.gate.ceiling()).substr(0, 4) + " runners "
+                   + std::to_string(load.runners);
+        return refuse(decision.refusal, decision.retryAfter);
+    }
+    return true;
 }
 
 asio::awaitable<bool> GatewayExchange::run()
@@ -192,6 +197,7 @@
     }
     --m_state.exchanges;
     m_state.counters.countResult(m_gone ? ResultCode::CallerGone : m_result);
+    m_state.requestDuration.observe(m_state.clock.now() - m_arrived);
     log();
     co_return !m_broken && !m_gone && !closing();
 }
@@ -565,7 +571,9 @@
     const Duration target = first ? m_route.objective : m_route.gapTarget;
     if (first) {
         m_firstEvent = now;
+        m_state.firstEvent.observe(pause);
     } else {
+        m_state.eventPause.observe(pause);
         m_longestPause = std::max(m_longestPause, pause);
         gate.pauseSeen(pause, now);
         gate.recentPause(now); // keeps the window short
--- a/fulmarlink/gatewayserver.cpp
+++ b/fulmarlink/gatewayserver.cpp
@@ -97,7 +97,7 @@
     bool reading = false; ///< a request has begun to arrive
 };
 
-GatewayServer::GatewayServer(asio::any_io_executor executor, GatewayState &state)
+GatewayServer::GatewayServer(const asio::any_io_executor &executor, GatewayState &state)
     : m_executor(executor)
     , m_state(state)
     , m_acceptor(executor)
--- a/fulmarlink/gatewayserver.h
+++ b/fulmarlink/gatewayserver.h
@@ -19,7 +19,7 @@
 class GatewayServer
 {
 public:
-    GatewayServer(boost::asio::any_io_executor executor, GatewayState &state);
+    GatewayServer(const boost::asio::any_io_executor &executor, GatewayState &state);
     ~GatewayServer();
 
     /** Throws if the address can't be bound. */
--- a/fulmarlink/gatewaystate.cpp
+++ b/fulmarlink/gatewaystate.cpp
@@ -29,6 +29,9 @@
     , protocol(theProtocol)
     , targets(tableOptions(settings))
     , random(std::random_device()())
+    , requestDuration(counters, "fulmarlink_request_duration_ms")
+    , firstEvent(counters, "fulmarlink_first_event_ms")
+    , eventPause(counters, "fulmarlink_event_pause_ms")
 {
 }
 
--- a/fulmarlink/gatewaystate.h
+++ b/fulmarlink/gatewaystate.h
@@ -10,6 +10,7 @@
 #include "fulmarlink/configstate.h"
 #include "fulmarlink/counters.h"
 #include "fulmarlink/gatewaysettings.h"
+#include "fulmarlink/latencyhistogram.h"
 #include "fulmarlink/poolgate.h"
 #include "fulmarlink/targettable.h"
 #include "fulmarlink/windowbudget.h"
@@ -54,6 +55,9 @@
     TargetConnections *connections = nullptr;
     std::map<std::string, PoolState> pools;
     Random random;
+    LatencyHistogram requestDuration; ///< from the last byte of a request to the end of its answer
+    LatencyHistogram firstEvent; ///< of a stream, from the last byte of its request
+    LatencyHistogram eventPause; ///< between two events of a stream
     unsigned entries = kEntriesUnknown; ///< entries that share budgets, this one included
     std::optional<TimePoint> drainBegan; ///< set: the process is leaving
     unsigned exchanges = 0; ///< requests that are not answered yet
--- a/testing/eventsplitter_test.cpp
+++ b/testing/eventsplitter_test.cpp
@@ -17,7 +17,9 @@
         const int events = *rc::gen::inRange(0, 12);
         std::string text;
         for (int i = 0; i < events; ++i) {
-            text += "id: " + std::to_string(i) + end + "data: " + std::string(*rc::gen::inRange(0, 30), 'x') + end + end;
+            text += "id: " + std::to_string(i) + end;
+            text += "data: " + std::string(*rc::gen::inRange(0, 30), 'x');
+            text += end + end;
         }
         const std::string whole = text;
         text += *rc::gen::element<std::string>("", "id: 99", "id: 99" + end, "data: half" + end);
--- a/testing/gateway_test.cpp
+++ b/testing/gateway_test.cpp
@@ -67,7 +67,7 @@
 
 class GatewayTest : public ::testing::Test
 {
-protected:
+public:
     GatewayTest()
         : store(context)
         , a(context, "i-a")
