A host that has lost the store sends its callers elsewhere before it must refuse them

Change: not ready from 2.1 s on, answers then bear Connection: close, Retry-After 0.5 s. Ruled out: serving on the old proof (a taken key would run).

--- a/fulmarlink/gateway.cpp
+++ b/fulmarlink/gateway.cpp
@@ -29,8 +29,6 @@
 constexpr Duration kEntriesInterval = std::chrono::seconds(5); ///< hosts are replaced a few times an hour
 constexpr Duration kStoreRetry = std::chrono::milliseconds(250); ///< after a refusal or an outage; a fifth of the store's read rate if 100 entries do it
 constexpr Duration kHousekeeping = std::chrono::milliseconds(200);
-constexpr Duration kReadyProof
-    = std::chrono::milliseconds(2500); ///< two seconds before keyed requests must be refused the platform is asked to send callers elsewhere
 constexpr Duration kDrainLeast = std::chrono::milliseconds(2600); ///< the platform asks each second and takes a host out after two misses
 constexpr unsigned kHttpOk = 200;
 constexpr unsigned kHttpUnavailable = 503;
@@ -71,7 +69,7 @@
 
 bool Gateway::ready() const
 {
-    return !m_state.drainBegan && m_targetsKnown && m_state.config.active() && m_state.config.age(m_clock.now()) < kReadyProof;
+    return !m_state.drainBegan && m_targetsKnown && m_state.config.active() && !m_state.proofAges(m_clock.now());
 }
 
 void Gateway::startHttp()
--- a/fulmarlink/gatewayexchange.cpp
+++ b/fulmarlink/gatewayexchange.cpp
@@ -38,7 +38,7 @@
 
 constexpr Duration kDefaultDeadline = std::chrono::seconds(60); ///< for callers that state none
 constexpr Duration kFreshEnoughToDeny = std::chrono::milliseconds(1500); ///< a route or key that an older configuration does not have may be new
-constexpr Duration kUnprovedRetry = std::chrono::seconds(1); ///< outages of the store last seconds
+constexpr Duration kUnprovedRetry = std::chrono::milliseconds(500); ///< mostly one host has lost the store, and another one takes the request at once
 constexpr Duration kRefusedRetry = std::chrono::milliseconds(400);
 constexpr std::chrono::milliseconds kConnectTimeout{300}; ///< far above a cross-zone round trip; a lost opening packet comes again only after a second
 constexpr Duration kLeastTimeToSend = std::chrono::milliseconds(20); ///< with less left no answer can arrive
@@ -96,7 +96,7 @@
 
 bool GatewayExchange::closing() const
 {
-    return m_state.drainBegan || !m_keepAlive;
+    return m_state.drainBegan || !m_keepAlive || m_state.proofAges(m_state.clock.now());
 }
 
 Duration GatewayExchange::timeLeft() const
--- a/fulmarlink/gatewaystate.cpp
+++ b/fulmarlink/gatewaystate.cpp
@@ -13,6 +13,10 @@
 /** Between the check of a key and the runner's start: a busy host's delay and the way to the runner. */
 constexpr Duration kRevokeMargin = std::chrono::milliseconds(600);
 
+/** Older proofs make a host not ready: the platform needs two seconds to send callers elsewhere, and keyed requests are refused from keyProofLimit() on. A read
+ * that is lost takes 0.95 s. */
+constexpr Duration kReadyProof = std::chrono::milliseconds(2100);
+
 TargetTableOptions tableOptions(const GatewaySettings &settings)
 {
     TargetTableOptions options;
@@ -55,6 +59,11 @@
     return settings.revokeBound - kRevokeMargin;
 }
 
+bool GatewayState::proofAges(TimePoint now) const
+{
+    return config.age(now) > kReadyProof;
+}
+
 bool GatewayState::keysProved(TimePoint now) const
 {
     return config.age(now) < keyProofLimit() || mutated(Mutation::ForgetProofAge);
--- a/fulmarlink/gatewaystate.h
+++ b/fulmarlink/gatewaystate.h
@@ -43,6 +43,8 @@
     WindowBudgetOptions budgetOptions() const;
     /** A keyed request may only run while the configuration's proof is younger than this. */
     Duration keyProofLimit() const;
+    /** The store has not confirmed the configuration for so long that callers should move to other entries. */
+    bool proofAges(TimePoint now) const;
     /** True if a keyed request that is here now may still be run. */
     bool keysProved(TimePoint now) const;
 
--- a/testing/gateway_test.cpp
+++ b/testing/gateway_test.cpp
@@ -466,6 +466,18 @@
         4s));
 }
 
+TEST_F(GatewayTest, AHostThatHasLostTheStoreSendsItsCallersElsewhereWhileItStillServesThem)
+{
+    start();
+    EXPECT_NE(ask(request("/once/x"))[std::string("Connection")], "close");
+    store.faults.silent = true;
+    context.run_for(2600ms);
+    EXPECT_FALSE(gateway->ready());
+    const Answer answer = ask(request("/once/x"));
+    EXPECT_EQ(answer.status, 200U);
+    EXPECT_EQ(answer[std::string("Connection")], "close");
+}
+
 TEST_F(GatewayTest, ALeavingRunnerGetsNoMoreWork)
 {
     start();
