--- a/fulmarlink/mapkeeper.cpp
+++ b/fulmarlink/mapkeeper.cpp
@@ -42,6 +42,7 @@
 constexpr Duration kLongestPrepare = std::chrono::seconds(4); ///< a copy that takes longer is given up; it does no harm
 constexpr double kLeastImprovement
     = 0.2; ///< of the busiest rank's load over the mean; below it a switch costs more in orders and copies than the shorter passes bring
+constexpr double kLeastWeight = 0.001; ///< keeps a weight of zero from dividing
 constexpr double kLeastChoices = 2000; ///< in the counts of a round, so that noise moves nothing
 constexpr unsigned kSampledRanks = 8; ///< of a group; requests spread evenly, so these stand for all
 constexpr Duration kCopyBudget = std::chrono::milliseconds(460); ///< for the copies of one rank, so that a switch is in force before demand turns again
@@ -361,7 +362,8 @@
                {"before", fixed(plan.before)},
                {"after", fixed(plan.after)},
                {"copies", std::to_string(plan.copies)}});
-    if (plan.before - plan.after >= kLeastImprovement) {
+    const double least = kLeastImprovement * m_state.settings.costWeight / std::max(kLeastWeight, m_state.settings.skewWeight);
+    if (plan.before - plan.after >= least) {
         co_await change(std::move(plan));
     }
 }
--- a/fulmarlink/yamlreader.cpp
+++ b/fulmarlink/yamlreader.cpp
@@ -251,7 +251,7 @@
 void YamlReader::fail(std::string found, std::string expected) const
 {
     if (m_errors->size() < kMaxFileErrors) {
-        const YAML::Mark mark = m_node.Mark();
+        const YAML::Mark mark = m_node.IsDefined() ? m_node.Mark() : YAML::Mark(); // a missing part has no place
         m_errors->push_back({m_file, mark.line + 1, mark.column + 1, std::move(found), std::move(expected)});
     }
 }
--- /dev/null
+++ b/testing/gatewaysettings_test.cpp
@@ -0,0 +1,97 @@
+// Checked settings of the gateway, and the template that the platform fills in.
+
+#include "fulmarlink/gatewaysettings.h"
+
+#include <fstream>
+#include <gtest/gtest.h>
+#include <map>
+#include <regex>
+#include <sstream>
+
+namespace fulmarlink::testing
+{
+
+namespace
+{
+
+const std::string kGood = "host: a\nzone: z\nlisten:\n  callers: \"127.0.0.1:80\"\n  readiness: \"127.0.0.1:81\"\nstore: \"10.0.0.1:8223\"\n";
+
+GatewaySettings parse(const std::string &text, FileErrors &errors)
+{
+    return GatewaySettings::parse(text, "test.yaml", errors);
+}
+
+std::string firstError(const std::string &text)
+{
+    FileErrors errors;
+    parse(text, errors);
+    return errors.empty() ? "" : errors.front().text();
+}
+
+std::string withText(const std::string &from, const std::string &to)
+{
+    std::string text = kGood;
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+} // namespace
+
+TEST(GatewaySettings, DefaultsHoldWhereNothingIsSaid)
+{
+    FileErrors errors;
+    const GatewaySettings settings = parse(kGood, errors);
+    EXPECT_TRUE(errors.empty());
+    EXPECT_EQ(settings.callers.port, 80);
+    EXPECT_EQ(settings.store.address, "10.0.0.1");
+    EXPECT_EQ(settings.revokeBound.count(), 5000);
+    EXPECT_EQ(settings.metrics.port, 0);
+}
+
+TEST(GatewaySettings, WrongInputIsNamedWithItsPlace)
+{
+    EXPECT_NE(firstError("zone: z\n").find("host"), std::string::npos);
+    EXPECT_NE(firstError(kGood + "extra: 1\n").find("test.yaml:7"), std::string::npos);
+    EXPECT_NE(firstError(withText("10.0.0.1:8223", "10.0.0.1")).find("an IP number and a port"), std::string::npos);
+    EXPECT_NE(firstError(withText("127.0.0.1:80", "localhost:80")).find("an IP number and a port"), std::string::npos);
+    EXPECT_NE(firstError(withText("127.0.0.1:80", "127.0.0.1:80x")).find("an IP number and a port"), std::string::npos);
+    EXPECT_NE(firstError(kGood + "bounds:\n  retry_ratio: 400\n"), "");
+    EXPECT_NE(firstError(kGood + "bounds:\n  revoke_ms: -1\n"), "");
+}
+
+TEST(GatewaySettings, ThePlatformsTemplateYieldsValidSettings)
+{
+    std::ifstream file(std::string(FULMARLINK_SOURCE_DIR) + "/deploy/gateway.yaml.in");
+    std::ostringstream content;
+    content << file.rdbuf();
+    std::string text = content.str();
+    const std::map<std::string, std::string> values = {{"node_name", "front-1"},
+                                                       {"zone", "z"},
+                                                       {"ip", "10.1.0.40"},
+                                                       {"listen.front_addr", "10.1.0.40:8227"},
+                                                       {"listen.ready_addr", "10.1.0.40:8220"},
+                                                       {"port_range.0", "7340"},
+                                                       {"port_range.1", "7341"},
+                                                       {"platform.addr", "10.200.1.7:8223"},
+                                                       {"bounds.revoke_ms", "5000"},
+                                                       {"bounds.config_ms", "3000"},
+                                                       {"bounds.drain_ms", "3000"},
+                                                       {"bounds.grace_s", "8"},
+                                                       {"bounds.stall_ms", "1500"},
+                                                       {"bounds.budget_window_s", "10"},
+                                                       {"bounds.retry_ratio", "0.2"},
+                                                       {"bounds.retry_slack", "124"}};
+    for (const auto &[name, value] : values) {
+        text = std::regex_replace(text, std::regex("\\{\\{" + name + "\\}\\}"), value);
+    }
+    ASSERT_EQ(text.find("{{"), std::string::npos) << text;
+    FileErrors errors;
+    const GatewaySettings settings = parse(text, errors);
+    EXPECT_TRUE(errors.empty()) << (errors.empty() ? "" : errors.front().text());
+    EXPECT_EQ(settings.shutdownLimit.count(), 8000);
+    EXPECT_EQ(settings.retryWindow.count(), 10'000);
+    EXPECT_EQ(settings.configurationBound.count(), 3000);
+    EXPECT_DOUBLE_EQ(settings.retrySlack, 124);
+}
+
+} // namespace fulmarlink::testing
--- /dev/null
+++ b/testing/platformcodec_test.cpp
@@ -0,0 +1,154 @@
+// Translation between the platform's words and the product's types.
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <gtest/gtest.h>
+
+#include "fulmarlink/resultcode.h"
+#include "platform/configurationdecoder.h"
+#include "platform/jsonread.h"
+#include "platform/platformprotocol.h"
+#include "platform/rankcodec.h"
+
+namespace fulmarlink::testing
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+std::string problemOf(const std::string &text)
+{
+    std::string problem;
+    return decodeConfiguration(json::parse(text), problem) ? "" : problem;
+}
+
+} // namespace
+
+TEST(PlatformCodec, ARouteIsDecodedWhole)
+{
+    std::string problem;
+    const auto configuration = decodeConfiguration(json::parse(R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/","kind":"streaming",
+"timeout_ms":8000,"slo_ms":500,"priority":1,"split":[{"service":"a","weight":90},{"service":"b","weight":10},{"service":"c","weight":0}],"max_attempts":2,"anonymous":false,"affinity":true,
+"resumable":true,"gap_target_ms":120}],"services":[{"name":"a","max_conns":258,"engine":{"slots":12,"stride":4,"read_per_s":61400.0,"sets":4,"experts":64,"placements":5,"spare":2,
+"expert_mb":2500.0,"link_mbps":180000.0,"report_lag_ms":200.0}}],"tenants":[{"name":"t","api_keys":["k"],"priority":3}],"limits":{"idle_timeout_ms":1000}})"),
+                                                   problem);
+    ASSERT_TRUE(configuration) << problem;
+    const RouteSpec &route = configuration->routes.front();
+    EXPECT_EQ(route.kind, RequestKind::Streaming);
+    EXPECT_EQ(route.pools.size(), 2U);
+    EXPECT_EQ(route.gapTarget, Duration(std::chrono::milliseconds(120)));
+    EXPECT_TRUE(route.resumable);
+    const EngineSpec &engine = *configuration->services.front().engine;
+    EXPECT_DOUBLE_EQ(engine.readTokensPerMs, 61.4);
+    EXPECT_EQ(engine.newPerSwitch, 2U);
+    EXPECT_EQ(engine.reportLag, Duration(std::chrono::milliseconds(200)));
+    EXPECT_EQ(configuration->customers.front().priority, 3U);
+    EXPECT_EQ(configuration->limits.idleTimeout.count(), 1000);
+}
+
+TEST(PlatformCodec, AMalformedConfigurationIsRefusedWithItsReason)
+{
+    EXPECT_NE(problemOf(R"({"routes":[]})").find("version"), std::string::npos);
+    EXPECT_NE(problemOf(R"({"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/","kind":"odd","service":"a"}]})").find("odd"), std::string::npos);
+    EXPECT_NE(problemOf(R"({"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/","kind":"idempotent"}]})").find("no service"), std::string::npos);
+    EXPECT_NE(problemOf(R"({"version":1,"routes":"all"})").find("list"), std::string::npos);
+    const std::string route = R"({"name":"r","host":"h","path_prefix":"/","kind":"idempotent","service":"a"})";
+    EXPECT_NE(problemOf(R"({"version":1,"routes":[)" + route + "," + route + "]}").find("twice"), std::string::npos);
+    EXPECT_NE(problemOf(R"({"version":-1})").find("version"), std::string::npos);
+    EXPECT_NE(problemOf("[]"), "");
+}
+
+TEST(PlatformCodec, ARunnersEntryThatIsMalformedIsLeftOut)
+{
+    EXPECT_TRUE(decodeTarget("i", json::parse(R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","slots":12,"state":"ready"})")));
+    EXPECT_TRUE(decodeTarget("i", json::parse(R"({"service":"s","addr":"10.0.0.9:8080","state":"draining"})"))->leaving);
+    EXPECT_FALSE(decodeTarget("i", json::parse(R"({"service":"s","addr":"nowhere"})")));
+    EXPECT_FALSE(decodeTarget("i", json::parse(R"({"addr":"10.0.0.9:8080"})")));
+    EXPECT_FALSE(decodeTarget("i", json::parse("7")));
+}
+
+TEST(PlatformCodec, WhatConcernsOneConnectionAndTheKeyStayBehind)
+{
+    HttpRequest request(http::verb::post, "/p/x", 11);
+    request.set(http::field::host, "h.example:8080");
+    request.set(http::field::connection, "close, X-Hop");
+    request.set("X-Hop", "1");
+    request.set("X-Kept", "2");
+    request.set("Tenant", "forged");
+    request.set(http::field::authorization, "Token abc ");
+    request.set("Deadline-Ms", "1500");
+    request.set("Token-Counts", "1460, 80");
+    const PlatformProtocol protocol;
+    const CallerRequest facts = protocol.readRequest(request);
+    EXPECT_EQ(facts.host, "h.example");
+    EXPECT_EQ(facts.apiKey, "abc");
+    EXPECT_EQ(facts.promptTokens, 1460U);
+    EXPECT_EQ(facts.maxAnswerTokens, 80U);
+    RunnerRequest extra;
+    extra.targetId = "i-1";
+    extra.timeLeft = std::chrono::milliseconds(700);
+    protocol.writeRequest(request, extra);
+    EXPECT_EQ(request["X-Hop"], "");
+    EXPECT_EQ(request["X-Kept"], "2");
+    EXPECT_EQ(request["Tenant"], "");
+    EXPECT_EQ(request[http::field::authorization], "");
+    EXPECT_EQ(request["Deadline-Ms"], "700");
+    EXPECT_EQ(request["Expect-Instance"], "i-1");
+}
+
+TEST(PlatformCodec, OnlyTheRunnersOwnWordSaysNotRun)
+{
+    const PlatformProtocol protocol;
+    http::fields head;
+    EXPECT_FALSE(protocol.readAnswer(503, head).notRun);
+    EXPECT_TRUE(protocol.readAnswer(421, head).notRun);
+    head.set("Not-Executed", "1");
+    head.set("Server-Load", "3, 1, 8");
+    head.set("Keep-Alive", "max=3, timeout=5");
+    const RunnerAnswer answer = protocol.readAnswer(503, head);
+    EXPECT_TRUE(answer.notRun);
+    EXPECT_EQ(answer.load->waiting, 1U);
+    EXPECT_EQ(answer.keepAlive->count(), 5);
+}
+
+TEST(PlatformCodec, ARanksReport)
+{
+    std::error_code error;
+    const RankReport report
+        = decodeReport(json::parse(R"({"stage":"unified","group":{"name":"g0-0","epoch":1,"rank":3,"state":"open"},"size":16,"busy":false,"call_seq":0,
+"waiting":0,"running":7,"pace":1.0,"step":51,"map":49153,"prepared":{"version":49154},"armed":{"version":49154,"step":60},"held":60})"),
+                       error);
+    EXPECT_FALSE(error);
+    EXPECT_EQ(report.rank, 3U);
+    EXPECT_EQ(report.size, 16U);
+    EXPECT_TRUE(report.open);
+    EXPECT_EQ(report.map, 49153U);
+    EXPECT_EQ(report.prepared, 49154U);
+    EXPECT_EQ(report.armed, 49154U);
+    EXPECT_EQ(report.armedPass, 60U);
+    EXPECT_EQ(report.heldPass, 60U);
+    decodeReport(json::parse(R"({"stage":"unified"})"), error);
+    EXPECT_EQ(error, ResultCode::ObjectNotFound);
+}
+
+TEST(PlatformCodec, CountsOfAllSetsComeInOneList)
+{
+    const ExpertCountsRead read = decodeCounts(json::parse(R"({"step":812,"epoch":1,"counts":[1,2,3,4,5,6]})"), 2);
+    EXPECT_EQ(read.counts, (std::vector<std::vector<std::uint64_t>>{{1, 2, 3}, {4, 5, 6}}));
+    EXPECT_TRUE(decodeCounts(json::parse("{}"), 2).counts.empty());
+}
+
+TEST(PlatformCodec, OrdersNameTheirEpoch)
+{
+    RankOrder order;
+    order.kind = RankOrderKind::Arm;
+    order.epoch = 2;
+    order.version = 7;
+    order.pass = 40;
+    EXPECT_EQ(json::serialize(encodeOrder(order)), R"({"operation":"arm","epoch":2,"version":7,"step":40})");
+}
+
+} // namespace fulmarlink::testing
--- /dev/null
+++ b/testing/soak.sh
@@ -0,0 +1,37 @@
+#!/usr/bin/env bash
+# Fault soak: real gateways as separate processes, harmed from outside.
+#   testing/soak.sh FULMARLINK SOAK SEED SECONDS
+# Stops, pauses, kills and reloads the gateways by signals in overlapping series; the proxies,
+# store and runners in SOAK do the rest. Ends with SOAK's verdict; on failure the logs are kept.
+set -u
+fulmarlink=$1 soak=$2 seed=$3 seconds=$4
+folder=$(mktemp -d)
+RANDOM=$seed
+declare -a pids
+
+start() { "$fulmarlink" gateway "$folder/gateway-$1.yaml" >>"$folder/gateway-$1.log" 2>&1 & pids[$1]=$!; }
+finish() { for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -KILL "$pid" 2>/dev/null; done; }
+trap finish EXIT
+
+"$soak" --seed "$seed" --seconds "$seconds" "$folder" >"$folder/soak.log" 2>&1 &
+world=$!
+for _ in $(seq 100); do [ -f "$folder/ready" ] && break; sleep 0.1; done
+for i in 0 1 2; do start $i; done
+end=$((SECONDS + seconds))
+while [ $SECONDS -lt $end ]; do
+    sleep "0.$((RANDOM % 9 + 1))"
+    i=$((RANDOM % 3))
+    pid=${pids[$i]}
+    case $((RANDOM % 10)) in
+    0) kill -KILL "$pid"; wait "$pid" 2>/dev/null; start $i ;;
+    1) kill -TERM "$pid" ;;                    # drains on while others are harmed
+    2 | 3) kill -STOP "$pid"; (sleep "$((RANDOM % 3)).$((RANDOM % 10))"; kill -CONT "$pid" 2>/dev/null) & ;;
+    4) kill -HUP "$pid" ;;
+    esac
+    for j in 0 1 2; do kill -0 "${pids[$j]}" 2>/dev/null || start $j; done
+done
+wait "$world"
+verdict=$?
+cat "$folder/soak.log"
+if [ $verdict -eq 0 ]; then rm -rf "$folder"; else echo "seed $seed failed; logs in $folder"; fi
+exit $verdict
