--- a/fulmarlink/clock.h
+++ b/fulmarlink/clock.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <random>
@@ -15,6 +16,12 @@
 /** The random source handed to decision code; seeded by whoever owns it. */
 using Random = std::mt19937_64;
 
+/** @p value in milliseconds for a timer, at least one. */
+inline std::chrono::milliseconds timerMs(Duration value)
+{
+    return std::max(std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(value));
+}
+
 /** Where decision code's callers take the time from: the machine's clock, or a virtual one. */
 class Clock
 {
--- a/fulmarlink/gatewayexchange.h
+++ b/fulmarlink/gatewayexchange.h
@@ -31,6 +31,8 @@
 class GatewayExchange
 {
 public:
+    static constexpr std::chrono::milliseconds kWriteTimeout{4000}; ///< to a caller that does not read
+
     GatewayExchange(GatewayState &state, boost::beast::tcp_stream &caller, HttpRequest request, bool keepAlive);
     ~GatewayExchange();
     GatewayExchange(const GatewayExchange &) = delete;
--- /dev/null
+++ b/fulmarlink/mapkeepercalls.cpp
@@ -0,0 +1,282 @@
+// The calls to a group's ranks, many at once: reports, placements, counts, and the orders of
+// a switch until it is done.
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "fulmarlink/log.h"
+#include "fulmarlink/mapkeeper.h"
+
+namespace fulmarlink
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr Duration kFollowerRound = std::chrono::milliseconds(150);
+constexpr Duration kLongestHelp = std::chrono::seconds(3); ///< then it looks again
+constexpr Duration kReportMargin = std::chrono::milliseconds(80); ///< beyond the reports' stated lag
+constexpr Duration kFreshReports = std::chrono::milliseconds(40); ///< a pass chosen from reports read this long ago is still ahead
+constexpr Duration kPollPrepared = std::chrono::milliseconds(120); ///< when a copy takes longer than it should
+constexpr Duration kUsualPass = std::chrono::milliseconds(50); ///< where no events were seen lately
+constexpr Duration kShortestPass = std::chrono::milliseconds(18); ///< of a group that has work
+constexpr Duration kLongestPrepare = std::chrono::seconds(4); ///< a copy that takes longer is given up; it does no harm
+constexpr unsigned kSampledRanks = 8; ///< of a group; requests spread evenly, so these stand for all
+
+} // namespace
+
+/** Parallel calls: each takes one from open; the last wakes the waiter. */
+struct MapKeeper::Gather {
+    Gather(asio::io_context &context, unsigned count)
+        : timer(context, asio::steady_timer::time_point::max())
+        , open(count)
+    {
+    }
+
+    void finishOne()
+    {
+        if (--open == 0) {
+            timer.cancel();
+        }
+    }
+
+    asio::steady_timer timer;
+    unsigned open;
+    std::vector<TargetInfo> targets;
+    std::vector<RankReportRead> reports;
+    std::vector<RankPlacementRead> placements;
+    std::vector<ExpertCountsRead> counts;
+    std::vector<std::pair<unsigned, OrderResult>> results;
+};
+
+asio::awaitable<void> MapKeeper::waitFor(std::shared_ptr<Gather> gather)
+{
+    boost::system::error_code ignored; // cancelled when the last call has ended
+    if (gather->open > 0) {
+        co_await gather->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+asio::awaitable<void> MapKeeper::reportOne(unsigned index, std::shared_ptr<Gather> gather)
+{
+    gather->reports[index] = co_await m_platform.readRankReport(gather->targets[index]);
+    gather->finishOne();
+}
+
+asio::awaitable<bool> MapKeeper::readReports()
+{
+    const std::vector<TargetInfo> targets = m_state.targets.listed(m_pool);
+    auto gather = std::make_shared<Gather>(m_context, static_cast<unsigned>(targets.size()));
+    gather->targets = targets;
+    gather->reports.resize(targets.size());
+    for (unsigned i = 0; i < targets.size(); ++i) {
+        asio::co_spawn(m_context, reportOne(i, gather), asio::detached);
+    }
+    co_await waitFor(gather);
+    std::vector<std::pair<unsigned, unsigned>> order; // rank, index
+    unsigned size = 0;
+    for (unsigned i = 0; i < gather->reports.size(); ++i) {
+        if (gather->reports[i].error) {
+            continue;
+        }
+        order.emplace_back(gather->reports[i].report.rank, i);
+        size = std::max(size, gather->reports[i].report.size);
+    }
+    std::ranges::sort(order);
+    const bool complete = size > 0 && order.size() == size;
+    if (!complete) {
+        logChange("reports-incomplete",
+                  {{"pool", m_pool}, {"asked", std::to_string(targets.size())}, {"got", std::to_string(order.size())}, {"ranks", std::to_string(size)}});
+        co_return false;
+    }
+    m_ranks.clear();
+    m_reports.clear();
+    for (const auto &[rank, index] : order) {
+        m_ranks.push_back(gather->targets[index]);
+        m_reports.push_back(gather->reports[index].report);
+    }
+    m_reportsAt = m_state.clock.now();
+    co_return true;
+}
+
+asio::awaitable<void> MapKeeper::placementOne(unsigned index, std::shared_ptr<Gather> gather)
+{
+    gather->placements[index] = co_await m_platform.readRankPlacement(gather->targets[index]);
+    gather->finishOne();
+}
+
+asio::awaitable<bool> MapKeeper::readPlacements()
+{
+    auto gather = std::make_shared<Gather>(m_context, static_cast<unsigned>(m_ranks.size()));
+    gather->targets = m_ranks;
+    gather->placements.resize(m_ranks.size());
+    for (unsigned i = 0; i < m_ranks.size(); ++i) {
+        asio::co_spawn(m_context, placementOne(i, gather), asio::detached);
+    }
+    co_await waitFor(gather);
+    const std::size_t sets = engine()->layerSets;
+    const std::uint64_t version = gather->placements.front().version;
+    GroupMap map(sets, std::vector<std::vector<ExpertId>>(m_ranks.size()));
+    for (unsigned rank = 0; rank < gather->placements.size(); ++rank) {
+        const RankPlacementRead &read = gather->placements[rank];
+        if (read.error || read.version != version || read.experts.size() != sets) {
+            logChange("placements-incomplete",
+                      {{"pool", m_pool}, {"rank", std::to_string(rank)}, {"error", read.error.message()}, {"version", std::to_string(read.version)}});
+            co_return false;
+        }
+        for (std::size_t set = 0; set < sets; ++set) {
+            map[set][rank] = read.experts[set];
+        }
+    }
+    m_map = std::move(map);
+    m_knownVersion = version;
+    m_knownEpoch = m_reports.front().epoch;
+    m_mapKnown = true;
+    logChange("map-read",
+              {{"pool", m_pool},
+               {"map", std::to_string(version)},
+               {"epoch", std::to_string(m_knownEpoch)},
+               {"ranks", std::to_string(m_ranks.size())},
+               {"report", m_reports.front().raw}});
+    co_return true;
+}
+
+asio::awaitable<void> MapKeeper::countsOne(unsigned index, std::shared_ptr<Gather> gather)
+{
+    gather->counts[index] = co_await m_platform.readExpertCounts(gather->targets[index], engine()->layerSets);
+    gather->finishOne();
+}
+
+asio::awaitable<void> MapKeeper::readCounts()
+{
+    auto gather = std::make_shared<Gather>(m_context, 0);
+    const std::size_t sampled = std::min<std::size_t>(kSampledRanks, m_ranks.size());
+    for (std::size_t i = 0; i < sampled; ++i) {
+        gather->targets.push_back(m_ranks[i * m_ranks.size() / sampled]);
+    }
+    gather->open = static_cast<unsigned>(sampled);
+    gather->counts.resize(sampled);
+    for (unsigned i = 0; i < sampled; ++i) {
+        asio::co_spawn(m_context, countsOne(i, gather), asio::detached);
+    }
+    co_await waitFor(gather);
+    m_countsAt = m_state.clock.now();
+    m_calmPause.reset();
+    for (unsigned i = 0; i < sampled; ++i) {
+        const ExpertCountsRead &read = gather->counts[i];
+        if (read.error) {
+            logChange("counts-missing", {{"pool", m_pool}, {"target", gather->targets[i].id}, {"error", read.error.message()}});
+            continue;
+        }
+        if (read.epoch != m_knownEpoch) {
+            m_mapKnown = false;
+        }
+        m_load.add(gather->targets[i].id, read);
+    }
+}
+
+asio::awaitable<void> MapKeeper::sendOne(unsigned rank, RankOrder order, std::shared_ptr<Gather> gather)
+{
+    const OrderResult result = co_await m_platform.order(m_ranks[rank], std::move(order));
+    gather->results.emplace_back(rank, result);
+    gather->finishOne();
+}
+
+asio::awaitable<void> MapKeeper::sendOrders(std::vector<AddressedOrder> orders)
+{
+    auto gather = std::make_shared<Gather>(m_context, static_cast<unsigned>(orders.size()));
+    for (AddressedOrder &order : orders) {
+        asio::co_spawn(m_context, sendOne(order.rank, std::move(order.order), gather), asio::detached);
+    }
+    co_await waitFor(gather);
+    m_lastOrder = m_state.clock.now();
+    for (const auto &[rank, result] : gather->results) {
+        if (result != OrderResult::Accepted) {
+            logChange("order-not-accepted",
+                      {{"pool", m_pool},
+                       {"rank", std::to_string(rank)},
+                       {"phase", switchPhaseName(m_switch.phase())},
+                       {"map", std::to_string(m_switch.version())},
+                       {"pass", std::to_string(m_switch.pass())},
+                       {"answer", result == OrderResult::Unknown ? "none" : "refused"}});
+        }
+    }
+    const SwitchPhase phase = m_switch.phase();
+    for (const auto &[rank, result] : gather->results) {
+        if (m_switch.phase() == phase) {
+            m_switch.result(rank, result);
+        }
+    }
+}
+
+/**
+ * The next pass that surely has not begun, by the reports and the pace of the events here.
+ * If it has begun all the same, the hold is refused within a round trip and a later one is
+ * tried, which costs less than a pass more of waiting.
+ */
+void MapKeeper::choosePass(unsigned refusals)
+{
+    std::uint64_t pass = 0;
+    for (const RankReport &report : m_reports) {
+        pass = std::max(pass, report.pass);
+    }
+    const TimePoint now = m_state.clock.now();
+    const Duration length = std::max(kShortestPass, m_state.pool(m_pool).gate.recentPause(now).value_or(kUsualPass));
+    const Duration ahead = engine()->reportLag + (now - m_reportsAt);
+    m_switch.holdAt(pass + static_cast<std::uint64_t>(ahead / length) + 1 + refusals);
+}
+
+asio::awaitable<void> MapKeeper::drive(Duration copyTime, bool helping)
+{
+    const TimePoint began = m_state.clock.now();
+    const Duration lag = engine()->reportLag + kReportMargin;
+    unsigned refusals = 0;
+    while (m_switch.phase() != SwitchPhase::Idle) {
+        const TimePoint now = m_state.clock.now();
+        if (!helping && !m_lease.holds(now)) {
+            co_await keepLease();
+        }
+        if ((!helping && !m_lease.holds(m_state.clock.now())) || (helping && now - began > kLongestHelp)
+            || (m_switch.phase() == SwitchPhase::Prepare && now - began > kLongestPrepare + copyTime)) {
+            co_return;
+        }
+        const bool fresh = now - m_reportsAt < kFreshReports;
+        if (m_switch.needsPass() && fresh) {
+            choosePass(refusals++);
+            continue;
+        }
+        if (m_switch.needsReports() || m_switch.needsPass()) {
+            Duration wait = m_switch.needsPass() ? Duration(0) : lag;
+            if (m_switch.phase() == SwitchPhase::Prepare) {
+                const bool all = now - began < copyTime;
+                wait = all ? began + copyTime - now : kPollPrepared;
+            }
+            co_await sleep(wait);
+            m_switch.assumePrepared();
+            const bool complete = co_await readReports();
+            if (!complete) {
+                co_await sleep(kFollowerRound);
+                const auto listed = m_state.targets.listed(m_pool).size();
+                if (listed < m_ranks.size()) {
+                    co_return; // a rank has gone, and with it the epoch
+                }
+                continue;
+            }
+            m_switch.observe(m_reports);
+            continue;
+        }
+        co_await sendOrders(m_switch.orders());
+        const bool renew = m_lease.step(m_state.clock.now()) == LeaseKeeper::Step::Write && m_switch.phase() == SwitchPhase::Prepare;
+        if (renew) {
+            co_await keepLease();
+        }
+    }
+}
+
+} // namespace fulmarlink
--- a/testing/gatewaysettings_test.cpp
+++ b/testing/gatewaysettings_test.cpp
@@ -5,7 +5,6 @@
 #include <fstream>
 #include <gtest/gtest.h>
 #include <map>
-#include <regex>
 #include <sstream>
 
 namespace fulmarlink::testing
@@ -82,7 +81,12 @@
                                                        {"bounds.retry_ratio", "0.2"},
                                                        {"bounds.retry_slack", "124"}};
     for (const auto &[name, value] : values) {
-        text = std::regex_replace(text, std::regex("\\{\\{" + name + "\\}\\}"), value);
+        std::string placeholder = "{{";
+        placeholder += name;
+        placeholder += "}}";
+        for (std::size_t at = text.find(placeholder); at != std::string::npos; at = text.find(placeholder)) {
+            text.replace(at, placeholder.size(), value);
+        }
     }
     ASSERT_EQ(text.find("{{"), std::string::npos) << text;
     FileErrors errors;
--- a/testing/soak_main.cpp
+++ b/testing/soak_main.cpp
@@ -16,6 +16,7 @@
 #include <iostream>
 #include <random>
 #include <set>
+#include <unistd.h>
 
 #include "app/commandline.h"
 #include "platform/wirenames.h"
@@ -58,11 +59,24 @@
     unsigned status = 0;
 };
 
+/** Each time another port that is free; below the range of outgoing connections, apart from other soaks on this machine. */
 std::uint16_t freePort()
 {
-    asio::io_context context;
-    const asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
-    return acceptor.local_endpoint().port();
+    constexpr unsigned kFirst = 10'000;
+    constexpr unsigned kPorts = 20'000;
+    constexpr unsigned kOfOneSoak = 16;
+    static unsigned next = static_cast<unsigned>(getpid()) * kOfOneSoak;
+    for (;;) {
+        const auto port = static_cast<std::uint16_t>(kFirst + next++ % kPorts);
+        asio::io_context context;
+        asio::ip::tcp::acceptor acceptor(context);
+        boost::system::error_code error;
+        acceptor.open(asio::ip::tcp::v4());
+        acceptor.bind({asio::ip::make_address("127.0.0.1"), port}, error);
+        if (!error) {
+            return port;
+        }
+    }
 }
 
 std::string text(const HttpTarget &target)
