Faster switches: counts of 5 ranks, 0.35 s of copies, pace over 180 ms

Cause: after a turn of demand the map is wrong until detection, counts and copies are done; copies of 0.46 s were the longest part.

--- a/fulmarlink/gatewayrelay.cpp
+++ b/fulmarlink/gatewayrelay.cpp
@@ -274,7 +274,7 @@
     } else {
         m_state.eventPause.observe(pause);
         m_longestPause = std::max(m_longestPause, pause);
-        gate.pauseSeen(pause, now);
+        gate.pauseSeen(pause, target, now);
         gate.recentPause(now); // keeps the window short
     }
     m_lastEvent = now;
--- a/fulmarlink/mapkeeper.cpp
+++ b/fulmarlink/mapkeeper.cpp
@@ -26,6 +26,7 @@
 constexpr Duration kRound = std::chrono::milliseconds(80); ///< between two looks at the pace, which cost nothing
 constexpr Duration kSettle = std::chrono::milliseconds(300); ///< after a switch the pace is measured anew
 constexpr Duration kLongestRest = std::chrono::milliseconds(5000); ///< without a look at the counts
+constexpr int kEasyShare = 30; ///< of 100 of the gap target: with shorter pauses all are on time, and a switch would serve nobody better
 constexpr Duration kLongestBlindRest = std::chrono::seconds(12); ///< where this host has no streams by whose pace it could tell
 constexpr double kSlowdown = 1.25; ///< of the pace since the last switch: demand has turned, or the batch has grown
 constexpr Duration kWindow = std::chrono::milliseconds(180); ///< of the counts that a plan rests on: some passes, short against the time in which demand turns
@@ -38,7 +39,8 @@
     = 0.2; ///< of the busiest rank's load over the mean; below it a switch costs more in orders and copies than the shorter passes bring
 constexpr double kLeastWeight = 0.001; ///< keeps a weight of zero from dividing
 constexpr double kLeastChoices = 2000; ///< in the counts of a round, so that noise moves nothing
-constexpr Duration kCopyBudget = std::chrono::milliseconds(460); ///< for the copies of one rank, so that a switch is in force before demand turns again
+constexpr Duration kCopyBudget = std::chrono::milliseconds(350); ///< for the copies of one rank: a switch must be in force long before demand turns again; 0.46
+                                                                 ///< s served 2 to 5 in 100 less on heavy days, 0.24 s leaves too much skew on quiet ones
 constexpr unsigned kChangesAtOnce = 64; ///< about a millisecond of a core for 72 ranks
 constexpr std::uint64_t kVersionsOfTerm = 1U << 20; ///< at a switch each three seconds a term would have to last a month to run out of them
 constexpr double kCopyMargin = 1.03;
@@ -151,15 +153,19 @@
 bool MapKeeper::paceTurned()
 {
     const TimePoint now = m_state.clock.now();
-    const auto pause = m_state.pool(m_pool).gate.recentPause(now);
-    if (now - m_countsAt > (pause ? kLongestRest : kLongestBlindRest)) {
-        return true;
+    PoolGate &gate = m_state.pool(m_pool).gate;
+    const auto pause = gate.recentPause(now);
+    const Duration sinceCounts = now - m_countsAt;
+    if (!pause) {
+        return sinceCounts > kLongestBlindRest;
     }
-    if (now - m_countsAt < kSettle || !pause) {
+    m_calmPause = m_calmPause ? std::min(*m_calmPause, *pause) : *pause;
+    const bool easy = *pause < gate.gapTarget() * kEasyShare / 100;
+    if (easy || sinceCounts < kSettle) {
         return false;
     }
-    m_calmPause = m_calmPause ? std::min(*m_calmPause, *pause) : *pause;
-    return std::chrono::duration<double>(*pause) > std::chrono::duration<double>(*m_calmPause) * kSlowdown;
+    const bool slower = std::chrono::duration<double>(*pause) > std::chrono::duration<double>(*m_calmPause) * kSlowdown;
+    return slower || sinceCounts > kLongestRest;
 }
 
 asio::awaitable<void> MapKeeper::leaderRound()
--- a/fulmarlink/mapkeepercalls.cpp
+++ b/fulmarlink/mapkeepercalls.cpp
@@ -27,7 +27,8 @@
 constexpr Duration kUsualPass = std::chrono::milliseconds(50); ///< where no events were seen lately
 constexpr Duration kShortestPass = std::chrono::milliseconds(18); ///< of a group that has work
 constexpr Duration kLongestPrepare = std::chrono::seconds(4); ///< a copy that takes longer is given up; it does no harm
-constexpr unsigned kSampledRanks = 8; ///< of a group; requests spread evenly, so these stand for all
+constexpr unsigned kSampledRanks
+    = 5; ///< of a group; requests spread evenly, so these stand for all: plans from 8 of 16 ranks won nothing and cost 0.011 of worth more on a quiet day
 
 } // namespace
 
--- a/fulmarlink/poolgate.cpp
+++ b/fulmarlink/poolgate.cpp
@@ -57,12 +57,18 @@
     m_late += ratio > 1 ? 1 : 0;
 }
 
-void PoolGate::pauseSeen(Duration pause, TimePoint now)
+void PoolGate::pauseSeen(Duration pause, Duration target, TimePoint now)
 {
+    m_gapTarget = target;
     m_pauses.emplace_back(now, pause);
     m_pauseSum += pause;
 }
 
+Duration PoolGate::gapTarget() const
+{
+    return m_gapTarget;
+}
+
 std::optional<Duration> PoolGate::recentPause(TimePoint now)
 {
     while (!m_pauses.empty() && now - m_pauses.front().first > kPaceWindow) {
--- a/fulmarlink/poolgate.h
+++ b/fulmarlink/poolgate.h
@@ -43,7 +43,7 @@
 public:
     static constexpr unsigned kRefusalsToStall = 4;
     static constexpr Duration kProbeInterval = std::chrono::milliseconds(150);
-    static constexpr Duration kPaceWindow = std::chrono::milliseconds(250); ///< a few passes of a loaded group
+    static constexpr Duration kPaceWindow = std::chrono::milliseconds(180); ///< a few passes of a loaded group
     static constexpr unsigned kLeastPauses = 6;
     static constexpr double kMaxCeiling = 1.5; ///< runners queue about two requests for each slot; half a slot's worth still begins in time
     static constexpr double kMinCeiling = 0.25;
@@ -53,9 +53,11 @@
     /** A stream's pause, or its wait for the first event, took @p ratio times what is on time. */
     void paceSeen(double ratio, TimePoint now);
     /** A stream's events came @p pause apart; feeds recentPause(). */
-    void pauseSeen(Duration pause, TimePoint now);
+    void pauseSeen(Duration pause, Duration target, TimePoint now);
     /** Mean pause between events of the last kPaceWindow; nothing if fewer than kLeastPauses were seen. */
     std::optional<Duration> recentPause(TimePoint now);
+    /** The longest pause that is on time, as the newest stream's route says. */
+    Duration gapTarget() const;
     /** A runner of the pool proved that it did not run a request. */
     void refusalSeen(TimePoint now);
     /** A runner of the pool has begun to answer. */
@@ -76,6 +78,7 @@
     TimePoint m_windowBegan{};
     std::deque<std::pair<TimePoint, Duration>> m_pauses; ///< of the last kPaceWindow
     Duration m_pauseSum{0};
+    Duration m_gapTarget{0};
     unsigned m_seen = 0;
     unsigned m_late = 0;
 };
--- a/testing/expertplanner_test.cpp
+++ b/testing/expertplanner_test.cpp
@@ -49,7 +49,7 @@
 
 ExpertPlanOptions smallGroup()
 {
-    return {.placements = 5, .newPerSwitch = 2, .newPerRank = 4};
+    return {.placements = 5, .newPerSwitch = 2, .newPerRank = 3};
 }
 
 } // namespace
@@ -101,7 +101,7 @@
         const ExpertPlan plan = planExperts(map, powerLaw(4, 64, 1.1, seed), smallGroup());
         EXPECT_GT(plan.before, 1.8) << seed;
         EXPECT_LT(plan.after, 1.25) << seed;
-        EXPECT_LE(plan.mostCopies, 4U);
+        EXPECT_LE(plan.mostCopies, 3U);
         map = plan.map;
     }
 }
--- a/testing/poolgate_test.cpp
+++ b/testing/poolgate_test.cpp
@@ -92,11 +92,11 @@
     PoolGate gate;
     EXPECT_FALSE(gate.recentPause(at(0)));
     for (int i = 0; i < 10; ++i) {
-        gate.pauseSeen(milliseconds(40), at(i));
+        gate.pauseSeen(milliseconds(40), milliseconds(120), at(i));
     }
     EXPECT_EQ(gate.recentPause(at(20)), Duration(milliseconds(40)));
     for (int i = 0; i < 10; ++i) {
-        gate.pauseSeen(milliseconds(120), at(300 + i));
+        gate.pauseSeen(milliseconds(120), milliseconds(120), at(300 + i));
     }
     EXPECT_EQ(gate.recentPause(at(320)), Duration(milliseconds(120)));
     EXPECT_FALSE(gate.recentPause(at(900)));
