What nothing used is gone: peers' address, loads of others, slots of a pool

Cause: reading the change as a newcomer: listen.peers was announced and nothing listened there; three functions of TargetTable had no caller.

--- a/fulmarlink/gateway.cpp
+++ b/fulmarlink/gateway.cpp
@@ -235,13 +235,12 @@
     bool announced = false;
     for (;;) {
         if (!announced) {
-            const EntryInfo self{m_state.settings.host, m_state.settings.peers}; // named: GCC 12 destroys such a temporary twice in a coroutine
-            const std::error_code error = co_await m_edges.platform->announceEntry(self);
+            const std::error_code error = co_await m_edges.platform->announceEntry(m_state.settings.host);
             announced = !error;
         }
         const EntriesRead read = co_await m_edges.platform->readEntries();
         if (!read.error) {
-            m_state.entries = std::max<unsigned>(1, static_cast<unsigned>(read.entries.size()));
+            m_state.entries = std::max<unsigned>(1, static_cast<unsigned>(read.hosts.size()));
             for (auto &[name, pool] : m_state.pools) {
                 pool.budget.setOptions(m_state.budgetOptions());
             }
--- a/fulmarlink/gatewaysettings.cpp
+++ b/fulmarlink/gatewaysettings.cpp
@@ -50,11 +50,10 @@
     settings.zone = reader.requiredText("zone");
     settings.logLevel = reader.text("log_level", settings.logLevel);
     const YamlReader listen = reader.child("listen");
-    listen.keys({"callers", "readiness", "metrics", "peers"});
+    listen.keys({"callers", "readiness", "metrics"});
     settings.callers = readAddress(listen, "callers", true);
     settings.readiness = readAddress(listen, "readiness", true);
     settings.metrics = readAddress(listen, "metrics", false);
-    settings.peers = readAddress(listen, "peers", false);
     settings.store = readAddress(reader, "store", true);
     const YamlReader bounds = reader.child("bounds");
     bounds.keys({"revoke_ms", "configuration_ms", "leaving_ms", "shutdown_ms", "stall_ms", "retry_window_ms", "retry_ratio", "retry_slack"});
--- a/fulmarlink/gatewaysettings.h
+++ b/fulmarlink/gatewaysettings.h
@@ -21,7 +21,6 @@
     HttpTarget callers; ///< where callers connect
     HttpTarget readiness; ///< where the platform asks whether this host takes connections
     HttpTarget metrics; ///< port 0: none
-    HttpTarget peers; ///< load reports between entries, UDP; port 0: none
     HttpTarget store;
     std::chrono::milliseconds revokeBound{5000}; ///< a key that was taken away runs nowhere after this
     std::chrono::milliseconds configurationBound{2000}; ///< a change is in force after this
--- a/fulmarlink/platform.h
+++ b/fulmarlink/platform.h
@@ -29,15 +29,10 @@
     unsigned malformed = 0; ///< entries that could not be understood
 };
 
-/** An entry host's process, as it announces itself to the others. */
-struct EntryInfo {
-    std::string host;
-    HttpTarget peerAddress; ///< where it takes load reports, UDP
-};
-
+/** The entry hosts that have announced themselves; those that are gone stay in it. */
 struct EntriesRead {
     std::error_code error;
-    std::vector<EntryInfo> entries;
+    std::vector<std::string> hosts;
 };
 
 /** Who may give orders to a group, until when by the holder's own clock. */
@@ -68,7 +63,7 @@
     virtual boost::asio::awaitable<ConfigurationRead> readConfiguration() = 0;
     /** Linearizable. */
     virtual boost::asio::awaitable<TargetsRead> readTargets() = 0;
-    virtual boost::asio::awaitable<std::error_code> announceEntry(EntryInfo self) = 0;
+    virtual boost::asio::awaitable<std::error_code> announceEntry(std::string host) = 0;
     /** May be seconds old. */
     virtual boost::asio::awaitable<EntriesRead> readEntries() = 0;
     /** @p allowStale: cheaper, and may be seconds old; a write on what it shows is refused if it was. */
--- a/fulmarlink/targettable.cpp
+++ b/fulmarlink/targettable.cpp
@@ -140,15 +140,6 @@
     it->second.othersAt = now;
 }
 
-void TargetTable::setOthers(const std::map<std::string, unsigned> &others, TimePoint now)
-{
-    for (auto &[id, state] : m_states) {
-        const auto it = others.find(id);
-        state.others = it == others.end() ? 0 : it->second;
-        state.othersAt = now;
-    }
-}
-
 void TargetTable::heard(const std::string &id, TimePoint now)
 {
     const auto it = m_states.find(id);
@@ -195,15 +186,6 @@
     }));
 }
 
-unsigned TargetTable::slots(std::string_view pool, TimePoint now) const
-{
-    unsigned total = 0;
-    for (const auto &[id, state] : m_states) {
-        total += state.info.pool == pool && usable(state, now) ? state.info.slots : 0;
-    }
-    return total;
-}
-
 unsigned TargetTable::ownRequests(std::string_view pool) const
 {
     unsigned total = 0;
@@ -213,17 +195,6 @@
     return total;
 }
 
-std::map<std::string, unsigned> TargetTable::ownByTarget() const
-{
-    std::map<std::string, unsigned> result;
-    for (const auto &[id, state] : m_states) {
-        if (state.own > 0) {
-            result.emplace(id, state.own);
-        }
-    }
-    return result;
-}
-
 std::vector<TargetInfo> TargetTable::listed(std::string_view pool) const
 {
     std::vector<TargetInfo> result;
--- a/fulmarlink/targettable.h
+++ b/fulmarlink/targettable.h
@@ -76,8 +76,6 @@
     void sent(const std::string &id);
     void ended(const std::string &id);
     void loadReported(const std::string &id, TargetLoad load, TimePoint now);
-    /** Requests of the other entries there, as one of their reports says; replaces what the runner's own report implied. */
-    void setOthers(const std::map<std::string, unsigned> &others, TimePoint now);
     /** Bytes of an answer came from the runner. */
     void heard(const std::string &id, TimePoint now);
     /** When that was last; the epoch if never. */
@@ -89,9 +87,7 @@
     /** Requests for each slot at @p id, as pick() compares them. */
     double load(const std::string &id, TimePoint now) const;
     unsigned available(std::string_view pool, TimePoint now) const;
-    unsigned slots(std::string_view pool, TimePoint now) const;
     unsigned ownRequests(std::string_view pool) const;
-    std::map<std::string, unsigned> ownByTarget() const;
     std::vector<TargetInfo> listed(std::string_view pool) const;
     std::size_t size() const;
 
--- a/testing/gatewaysettings_test.cpp
+++ b/testing/gatewaysettings_test.cpp
@@ -70,7 +70,6 @@
                                                        {"listen.front_addr", "10.1.0.40:8227"},
                                                        {"listen.ready_addr", "10.1.0.40:8220"},
                                                        {"port_range.0", "7340"},
-                                                       {"port_range.1", "7341"},
                                                        {"platform.addr", "10.200.1.7:8223"},
                                                        {"bounds.revoke_ms", "5000"},
                                                        {"bounds.config_ms", "3000"},
