A configuration that drops an engine can't break a switch under way

Cause: read as a newcomer, MapKeeper looked the engine up again between awaits and trusted that it was still there; a configuration without the service would have ended the process. Change: the round keeps the engine that it began with; unused members gone; the head comment says what is done. Test: AnEngineThatComesAndGoesWithTheConfigurationStopsNothing (the race itself is not forced by it).

--- a/fulmarlink/mapkeeper.cpp
+++ b/fulmarlink/mapkeeper.cpp
@@ -1,7 +1,7 @@
-// A leader's round: read the counts of some ranks; if the map that the planner finds for
-// them is worth it, read all reports, and drive the switch. Reports are the expensive
-// and old part, so they are read only before a switch, while it copies, and when the
-// group seems to stand still.
+// A leader's round: look at the pace of the events here; when it has turned, read the counts
+// of some ranks twice and plan; if the plan is worth it, drive the switch. Reports are the
+// expensive and old part, so they are read only to choose the pass to hold, when an order was
+// refused, and when the group seems to stand still.
 
 #include "fulmarlink/mapkeeper.h"
 
@@ -67,11 +67,6 @@
 {
 }
 
-void MapKeeper::stop()
-{
-    m_stopped = true;
-}
-
 asio::awaitable<void> MapKeeper::sleep(Duration duration)
 {
     boost::system::error_code ignored; // the timer is not cancelled
@@ -126,12 +121,14 @@
 
 asio::awaitable<void> MapKeeper::run()
 {
-    while (!m_stopped && !m_state.drainBegan) {
+    while (!m_state.drainBegan) {
         const bool leader = m_lease.holds(m_state.clock.now());
         co_await sleep(leader ? kRound : kFollowerRound);
-        if (!engine() || m_state.targets.listed(m_pool).empty()) {
+        const auto spec = engine();
+        if (!spec || m_state.targets.listed(m_pool).empty()) {
             continue;
         }
+        m_engine = *spec;
         if (standsStill()) {
             co_await sleep(Duration(static_cast<Duration::rep>(m_state.random() % kHelpSpread.count()))); // one entry is enough
             if (standsStill()) {
@@ -191,7 +188,7 @@
         co_return;
     }
     const auto load = m_load.take();
-    const EngineSpec spec = *engine();
+    const EngineSpec spec = m_engine;
     ExpertPlanOptions options;
     options.placements = spec.placements;
     options.newPerSwitch = spec.newPerSwitch;
@@ -227,7 +224,7 @@
 
 asio::awaitable<void> MapKeeper::recover()
 {
-    const Duration lag = engine()->reportLag + kReportMargin;
+    const Duration lag = m_engine.reportLag + kReportMargin;
     co_await sleep(std::max(Duration(0), m_lastOrder + lag - m_state.clock.now()));
     const bool complete = co_await readReports();
     const bool leader = m_lease.holds(m_state.clock.now());
@@ -250,7 +247,7 @@
 
 asio::awaitable<void> MapKeeper::change(ExpertPlan plan)
 {
-    const EngineSpec spec = *engine();
+    const EngineSpec spec = m_engine;
     const std::uint64_t version = m_lease.termId() * kVersionsOfTerm + ++m_switches % kVersionsOfTerm;
     const double copySeconds = plan.mostCopies * spec.expertMb * kMegabitsPerMegabyte / std::max(1.0, spec.linkMbps);
     const auto copyTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(copySeconds * kCopyMargin));
--- a/fulmarlink/mapkeeper.h
+++ b/fulmarlink/mapkeeper.h
@@ -21,7 +21,8 @@
  * reads counts, plans, and drives GroupSwitch. One entry of all does it at a time; any
  * entry that sees the group stand still finishes a switch that its owner has left.
  *
- * How to use: run() once for each pool with experts; it ends when stop() was called.
+ * How to use: run() once for each pool with experts; it ends when the process
+ * begins to leave.
  */
 class MapKeeper
 {
@@ -29,7 +30,6 @@
     MapKeeper(boost::asio::io_context &context, GatewayState &state, Platform &platform, std::string pool);
 
     boost::asio::awaitable<void> run();
-    void stop();
 
 private:
     struct Gather;
@@ -54,12 +54,12 @@
     bool standsStill() const;
     bool paceTurned();
     std::optional<EngineSpec> engine() const;
-    std::string mapText() const;
 
     boost::asio::io_context &m_context;
     GatewayState &m_state;
     Platform &m_platform;
     const std::string m_pool;
+    EngineSpec m_engine; ///< as the configuration last had it; a change must not pull it away from under a switch
     LeaseKeeper m_lease;
     GroupSwitch m_switch;
     ExpertLoad m_load;
@@ -74,8 +74,6 @@
     TimePoint m_lastOrder{};
     std::optional<Duration> m_calmPause; ///< the shortest mean pause since counts were last read
     TimePoint m_countsAt{}; ///< when counts were last read
-    unsigned m_sample = 0; ///< rotates the ranks whose counts are read
-    bool m_stopped = false;
     bool m_wasLeader = false;
     Counters::Id m_switchesDone;
     Counters::Id m_switchesGivenUp;
--- a/fulmarlink/mapkeepercalls.cpp
+++ b/fulmarlink/mapkeepercalls.cpp
@@ -121,7 +121,7 @@
         asio::co_spawn(m_context, placementOne(i, gather), asio::detached);
     }
     co_await waitFor(gather);
-    const std::size_t sets = engine()->layerSets;
+    const std::size_t sets = m_engine.layerSets;
     const std::uint64_t version = gather->placements.front().version;
     GroupMap map(sets, std::vector<std::vector<ExpertId>>(m_ranks.size()));
     for (unsigned rank = 0; rank < gather->placements.size(); ++rank) {
@@ -150,7 +150,7 @@
 
 asio::awaitable<void> MapKeeper::countsOne(unsigned index, std::shared_ptr<Gather> gather)
 {
-    gather->counts[index] = co_await m_platform.readExpertCounts(gather->targets[index], engine()->layerSets);
+    gather->counts[index] = co_await m_platform.readExpertCounts(gather->targets[index], m_engine.layerSets);
     gather->finishOne();
 }
 
@@ -229,14 +229,14 @@
     }
     const TimePoint now = m_state.clock.now();
     const Duration length = std::max(kShortestPass, m_state.pool(m_pool).gate.recentPause(now).value_or(kUsualPass));
-    const Duration ahead = engine()->reportLag + (now - m_reportsAt);
+    const Duration ahead = m_engine.reportLag + (now - m_reportsAt);
     m_switch.holdAt(pass + static_cast<std::uint64_t>(ahead / length) + 1 + refusals);
 }
 
 asio::awaitable<void> MapKeeper::drive(Duration copyTime, bool helping)
 {
     const TimePoint began = m_state.clock.now();
-    const Duration lag = engine()->reportLag + kReportMargin;
+    const Duration lag = m_engine.reportLag + kReportMargin;
     unsigned refusals = 0;
     while (m_switch.phase() != SwitchPhase::Idle) {
         const TimePoint now = m_state.clock.now();
--- a/testing/gateway_test.cpp
+++ b/testing/gateway_test.cpp
@@ -478,6 +478,26 @@
     EXPECT_EQ(answer[std::string("Connection")], "close");
 }
 
+TEST_F(GatewayTest, AnEngineThatComesAndGoesWithTheConfigurationStopsNothing)
+{
+    start();
+    json::value next = json::parse(kConfiguration);
+    next.at("version") = 9;
+    next.at("services") = json::parse(
+        R"([{"name":"plain","engine":{"slots":4,"sets":2,"experts":8,"placements":3,"spare":1,"expert_mb":10.0,"link_mbps":1000.0,"report_lag_ms":50.0}}])");
+    store.set("config", "main", next);
+    EXPECT_TRUE(runUntil(
+        [this] {
+            return store.has("fulmarlink-leases", "plain");
+        },
+        4s));
+    next.at("version") = 10;
+    next.at("services") = json::array();
+    store.set("config", "main", next);
+    context.run_for(1500ms);
+    EXPECT_EQ(ask(request("/once/x")).status, 200U);
+}
+
 TEST_F(GatewayTest, ALeavingRunnerGetsNoMoreWork)
 {
     start();
