--- a/fulmarlink/configuration.h
+++ b/fulmarlink/configuration.h
@@ -59,6 +59,7 @@
     unsigned newPerSwitch = 0; ///< experts new to a rank, of a set and switch
     double expertMb = 0; ///< of one expert's copy
     double linkMbps = 0;
+    double expertShare = 0; ///< of the time for tokens that goes to the experts
     Duration reportLag{0}; ///< age of what a runner's report says
 };
 
--- /dev/null
+++ b/fulmarlink/enginemodel.cpp
@@ -0,0 +1,35 @@
+#include "fulmarlink/enginemodel.h"
+
+#include <algorithm>
+
+#include "fulmarlink/configuration.h"
+
+namespace fulmarlink
+{
+
+namespace
+{
+
+/** The part of a pass's time that imbalance stretches, and the part that it does not. */
+double stretch(const EngineSpec &engine, double imbalance)
+{
+    return 1 - engine.expertShare + engine.expertShare * std::max(1.0, imbalance);
+}
+
+} // namespace
+
+Duration passLength(const EngineSpec &engine, const PassLoad &load)
+{
+    const double perWriter = engine.perSequenceMs + engine.contextPerThousandMs * load.contextTokens / 1000;
+    const double writing = load.writers > 0 ? engine.stride * (engine.stepMs + perWriter * load.writers) : engine.stepMs;
+    const double reading = engine.readTokensPerMs > 0 ? load.promptTokens / engine.readTokensPerMs : 0;
+    const double ms = (writing + reading) * stretch(engine, load.imbalance);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
+}
+
+double passRatio(const EngineSpec &engine, double from, double to)
+{
+    return stretch(engine, to) / stretch(engine, from);
+}
+
+} // namespace fulmarlink
--- a/fulmarlink/gatewaysettings.cpp
+++ b/fulmarlink/gatewaysettings.cpp
@@ -13,6 +13,7 @@
 constexpr double kMaxRatio = 10;
 constexpr double kMaxSlack = 1e6;
 constexpr double kMaxWeight = 1e3;
+constexpr double kMaxLinkMbps = 1e6;
 
 /** ADDRESS:PORT */
 HttpTarget readAddress(const YamlReader &reader, std::string_view key, bool required)
@@ -45,7 +46,8 @@
 {
     GatewaySettings settings;
     const YamlReader reader = YamlReader::parse(text, file, errors);
-    reader.keys({"host", "zone", "log_level", "listen", "store", "bounds", "planner"});
+    reader.keys({"host", "zone", "log_level", "listen", "store", "bounds", "planner", "link_mbps"});
+    settings.linkMbps = reader.real("link_mbps", settings.linkMbps, 0, kMaxLinkMbps);
     settings.host = reader.requiredText("host");
     settings.zone = reader.requiredText("zone");
     settings.logLevel = reader.text("log_level", settings.logLevel);
--- a/fulmarlink/groupswitch.h
+++ b/fulmarlink/groupswitch.h
@@ -48,8 +48,11 @@
 class GroupSwitch
 {
 public:
-    /** Arm orders that a rank may refuse before its report is read; its copy may be late by a few order times. */
-    static constexpr unsigned kArmRefusals = 8;
+    /**
+     * Arm orders that a rank may refuse before its report is read. They are sent again each 15 ms while the pass is held, so this is the age of a
+     * report: a copy that is later than that is not on its way.
+     */
+    static constexpr unsigned kArmRefusals = 18;
 
     /** Begins a switch of a group whose ranks all use one map, with nothing armed or held. @p version is higher than any before. */
     void begin(unsigned ranks, std::uint64_t epoch, std::uint64_t version, GroupMap map);
--- a/fulmarlink/leasekeeper.cpp
+++ b/fulmarlink/leasekeeper.cpp
@@ -26,9 +26,10 @@
     if (m_holding) {
         return now - m_renewed >= m_options.renewAfter ? Step::Write : Step::Wait;
     }
-    const bool free = m_seen.revision == 0 || m_seen.holder.empty() || m_seen.holder == m_options.self;
-    const bool mayTake = now >= m_yieldedUntil;
-    if (mayTake && (free || now - m_seenChanged >= m_options.takeAfter)) {
+    const bool own = m_seen.holder == m_options.self; // of an earlier start of this process
+    const bool free = m_seen.revision == 0 || m_seen.holder.empty();
+    const Duration wait = m_options.patience + (free ? Duration(0) : m_options.takeAfter);
+    if (now >= m_yieldedUntil && (own || now - m_seenChanged >= wait)) {
         return Step::Write;
     }
     return now - m_lastRead >= kReadInterval ? Step::Look : Step::Wait;
--- a/fulmarlink/leasekeeper.h
+++ b/fulmarlink/leasekeeper.h
@@ -13,6 +13,7 @@
     Duration term = std::chrono::milliseconds(3000); ///< a holder may act for so long after the beginning of its last renewal
     Duration renewAfter = std::chrono::milliseconds(900); ///< leaves room for two renewals that are lost
     Duration takeAfter = std::chrono::milliseconds(3700); ///< the others wait for so long without a renewal; longer than the term by the drift of any clock
+    Duration patience{0}; ///< before it takes a lease that has lapsed or was left, so that hosts fit for the work come first
 };
 
 /**
--- a/fulmarlink/mapkeeper.cpp
+++ b/fulmarlink/mapkeeper.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <cmath>
 
+#include "fulmarlink/enginemodel.h"
 #include "fulmarlink/log.h"
 
 namespace fulmarlink
@@ -23,13 +24,11 @@
 namespace
 {
 
-constexpr Duration kRound = std::chrono::milliseconds(80); ///< between two looks at the pace, which cost nothing
-constexpr Duration kSettle = std::chrono::milliseconds(300); ///< after a switch the pace is measured anew
-constexpr Duration kLongestRest = std::chrono::milliseconds(5000); ///< without a look at the counts
-constexpr int kEasyShare = 30; ///< of 100 of the gap target: with shorter pauses all are on time, and a switch would serve nobody better
-constexpr Duration kLongestBlindRest = std::chrono::seconds(12); ///< where this host has no streams by whose pace it could tell
-constexpr double kSlowdown = 1.25; ///< of the pace since the last switch: demand has turned, or the batch has grown
-constexpr Duration kWindow = std::chrono::milliseconds(180); ///< of the counts that a plan rests on: some passes, short against the time in which demand turns
+constexpr Duration kRound = std::chrono::milliseconds(20); ///< between two looks at the pace; a third of a usual pass
+constexpr Duration kLongestWindow = std::chrono::milliseconds(300); ///< of the counts that a plan rests on, where no event tells that a pass has begun
+constexpr Duration kPassPoll = std::chrono::milliseconds(8); ///< a tenth of a usual pass
+constexpr Duration kSamePass = std::chrono::milliseconds(15); ///< events of one pass arrive within this: a way between zones and a busy host
+constexpr unsigned kWindowPasses = 2; ///< at the most
 constexpr Duration kFollowerRound = std::chrono::milliseconds(150);
 constexpr Duration kStandstill = std::chrono::milliseconds(500); ///< longer than any pass, shorter than callers' patience
 constexpr Duration kHelpSpread = std::chrono::milliseconds(250); ///< entries that see a standstill look at the reports one after the other
@@ -41,11 +40,31 @@
 constexpr double kLeastChoices = 2000; ///< in the counts of a round, so that noise moves nothing
 constexpr Duration kCopyBudget = std::chrono::milliseconds(350); ///< for the copies of one rank: a switch must be in force long before demand turns again; 0.46
                                                                  ///< s served 2 to 5 in 100 less on heavy days, 0.24 s leaves too much skew on quiet ones
+constexpr double kUsualImbalance = 1.2; ///< of a map that fits what is in demand, with the noise of a short window
+constexpr double kRestShare = 0.5; ///< of the gap target: where passes are shorter after the first switch, the rest of the copies would serve nobody better and
+                                   ///< costs 0.03 of a calm day
+constexpr Duration kFirstCopyBudget = std::chrono::milliseconds(
+    120); ///< about one slow pass; the few copies that fit take away most of the imbalance (3.3 to 1.5 with one a rank), 0.23 s sooner than all would
 constexpr unsigned kChangesAtOnce = 64; ///< about a millisecond of a core for 72 ranks
 constexpr std::uint64_t kVersionsOfTerm = 1U << 20; ///< at a switch each three seconds a term would have to last a month to run out of them
 constexpr double kCopyMargin = 1.03;
 constexpr double kMegabitsPerMegabyte = 8;
 
+/**
+ * The map goes to each rank: 72 ranks of 12 sets take 0.65 MB, 0.13 s of a link of 40 Mbit/s and 0.03 s of one of 200, while the group runs on the
+ * old map. The others look at the lease each 0.6 s, so eight times the difference lets the faster host take it first.
+ */
+Duration takeoverPatience(double linkMbps)
+{
+    constexpr double kOrdersMegabits = 5.2;
+    constexpr double kFactor = 8;
+    constexpr Duration kMost = std::chrono::milliseconds(1500);
+    if (linkMbps <= 0) {
+        return Duration(0);
+    }
+    return std::min(kMost, std::chrono::duration_cast<Duration>(std::chrono::duration<double>(kFactor * kOrdersMegabits / linkMbps)));
+}
+
 std::string fixed(double value)
 {
     return std::to_string(std::round(value * 100) / 100).substr(0, 5);
@@ -58,7 +77,7 @@
     , m_state(state)
     , m_platform(platform)
     , m_pool(std::move(pool))
-    , m_lease(LeaseOptions{.self = state.settings.host})
+    , m_lease(LeaseOptions{.self = state.settings.host, .patience = takeoverPatience(state.settings.linkMbps)})
     , m_switchesDone(state.counters.registerCounter("fulmarlink_map_switches_total"))
     , m_switchesGivenUp(state.counters.registerCounter("fulmarlink_map_switches_given_up_total"))
     , m_copies(state.counters.registerCounter("fulmarlink_expert_copies_total"))
@@ -146,23 +165,22 @@
     }
 }
 
-/** Whether events come so much more slowly than since the last plan that the counts are worth their price. */
 bool MapKeeper::paceTurned()
 {
     const TimePoint now = m_state.clock.now();
     PoolGate &gate = m_state.pool(m_pool).gate;
-    const auto pause = gate.recentPause(now);
-    const Duration sinceCounts = now - m_countsAt;
-    if (!pause) {
-        return sinceCounts > kLongestBlindRest;
-    }
-    m_calmPause = m_calmPause ? std::min(*m_calmPause, *pause) : *pause;
-    const bool easy = *pause < gate.gapTarget() * kEasyShare / 100;
-    if (easy || sinceCounts < kSettle) {
-        return false;
+    return m_pace.turned({gate.recentPause(now), gate.lastAnswer(), gate.gapTarget()}, now);
+}
+
+/** Until events tell that a pass has ended and the next one begun. */
+asio::awaitable<void> MapKeeper::waitForPass()
+{
+    const PoolGate &gate = m_state.pool(m_pool).gate;
+    const TimePoint began = m_state.clock.now();
+    const TimePoint seen = gate.lastAnswer();
+    while (gate.lastAnswer() - seen < kSamePass && m_state.clock.now() - began < kLongestWindow) {
+        co_await sleep(kPassPoll);
     }
-    const bool slower = std::chrono::duration<double>(*pause) > std::chrono::duration<double>(*m_calmPause) * kSlowdown;
-    return slower || sinceCounts > kLongestRest;
 }
 
 asio::awaitable<void> MapKeeper::leaderRound()
@@ -180,23 +198,52 @@
     if (!paceTurned()) {
         co_return;
     }
+    const std::optional<Duration> calm = m_pace.calmPause();
     co_await readCounts(); // the window's beginning
     m_load.take();
-    co_await sleep(kWindow);
-    co_await readCounts();
+    for (unsigned passes = 0; passes < kWindowPasses && m_load.gathered() < kLeastChoices; ++passes) {
+        co_await waitForPass();
+        co_await readCounts();
+    }
     if (!m_mapKnown || m_load.gathered() < kLeastChoices) {
         co_return;
     }
     const auto load = m_load.take();
+    if (load.size() != m_map.size() || load.front().size() != m_engine.experts) {
+        co_return;
+    }
+    for (const Duration budget : {kFirstCopyBudget, kCopyBudget}) {
+        const ExpertPlan plan = co_await planned(load, budget);
+        const double least = kLeastImprovement * m_state.settings.costWeight / std::max(kLeastWeight, m_state.settings.skewWeight);
+        if (plan.before - plan.after >= least) {
+            co_await change(plan);
+        }
+        if (!m_mapKnown || !restNeeded(calm, plan.after)) {
+            break;
+        }
+        co_await waitForPass(); // a rank that is armed takes no new map
+    }
+}
+
+/** Whether passes stay so long after a first switch that the rest of the copies is worth its price. */
+bool MapKeeper::restNeeded(std::optional<Duration> calm, double imbalance)
+{
+    const Duration target = m_state.pool(m_pool).gate.gapTarget();
+    if (!calm) {
+        return true;
+    }
+    const std::chrono::duration<double> expected = std::chrono::duration<double>(*calm) * passRatio(m_engine, kUsualImbalance, imbalance);
+    return expected > std::chrono::duration<double>(target) * kRestShare;
+}
+
+asio::awaitable<ExpertPlan> MapKeeper::planned(const std::vector<std::vector<double>> &load, Duration copyBudget)
+{
     const EngineSpec spec = m_engine;
     ExpertPlanOptions options;
     options.placements = spec.placements;
     options.newPerSwitch = spec.newPerSwitch;
     const double copySeconds = spec.expertMb * kMegabitsPerMegabyte / std::max(1.0, spec.linkMbps);
-    options.newPerRank = static_cast<unsigned>(std::max(1.0, std::chrono::duration<double>(kCopyBudget).count() / copySeconds));
-    if (load.size() != m_map.size() || load.front().size() != spec.experts) {
-        co_return;
-    }
+    options.newPerRank = static_cast<unsigned>(std::max(1.0, std::chrono::duration<double>(copyBudget).count() / copySeconds));
     ExpertPlanner planner(m_map, load, options);
     while (planner.improve(kChangesAtOnce)) {
         co_await sleep(Duration(0)); // requests go on meanwhile
@@ -208,10 +255,7 @@
                {"before", fixed(plan.before)},
                {"after", fixed(plan.after)},
                {"copies", std::to_string(plan.copies)}});
-    const double least = kLeastImprovement * m_state.settings.costWeight / std::max(kLeastWeight, m_state.settings.skewWeight);
-    if (plan.before - plan.after >= least) {
-        co_await change(std::move(plan));
-    }
+    co_return plan;
 }
 
 asio::awaitable<void> MapKeeper::leave()
@@ -228,7 +272,7 @@
     co_await sleep(std::max(Duration(0), m_lastOrder + lag - m_state.clock.now()));
     const bool complete = co_await readReports();
     const bool leader = m_lease.holds(m_state.clock.now());
-    if (!complete && leader) {
+    if (!complete && leader && m_unreached > 0) {
         co_await leave(); // another entry may reach the ranks
     }
     if (!complete || !m_switch.recover(m_reports, leader)) {
@@ -270,8 +314,7 @@
                {"copy_ms", std::to_string(copyTime.count() / 1000)},
                {"ms", std::to_string((m_state.clock.now() - began).count() / 1000)}});
     if (done) {
-        m_countsAt = m_state.clock.now();
-        m_calmPause.reset();
+        m_pace.restart(m_state.clock.now());
         m_map = std::move(plan.map);
         m_knownVersion = version;
         m_mapKnown = true;
--- a/fulmarlink/mapkeeper.h
+++ b/fulmarlink/mapkeeper.h
@@ -11,6 +11,7 @@
 #include "fulmarlink/gatewaystate.h"
 #include "fulmarlink/groupswitch.h"
 #include "fulmarlink/leasekeeper.h"
+#include "fulmarlink/pacewatch.h"
 #include "fulmarlink/platform.h"
 
 namespace fulmarlink
@@ -39,11 +40,16 @@
     boost::asio::awaitable<bool> readReports();
     boost::asio::awaitable<bool> readPlacements();
     boost::asio::awaitable<void> readCounts();
+    boost::asio::awaitable<void> waitForPass();
     boost::asio::awaitable<void> recover();
+    boost::asio::awaitable<ExpertPlan> planned(const std::vector<std::vector<double>> &load, Duration copyBudget);
+    bool restNeeded(std::optional<Duration> calm, double imbalance);
     boost::asio::awaitable<void> leave();
     boost::asio::awaitable<void> change(ExpertPlan plan);
     boost::asio::awaitable<void> drive(Duration copyTime, bool helping);
-    boost::asio::awaitable<void> sendOrders(std::vector<AddressedOrder> orders);
+    /** False if a rank did not accept its order. */
+    boost::asio::awaitable<bool> sendOrders(std::vector<AddressedOrder> orders);
+    boost::asio::awaitable<bool> readPass();
     void choosePass(unsigned refusals);
     boost::asio::awaitable<void> sleep(Duration duration);
     boost::asio::awaitable<void> sendOne(unsigned rank, RankOrder order, std::shared_ptr<Gather> gather);
@@ -66,14 +72,15 @@
     std::vector<TargetInfo> m_ranks; ///< in rank order, of the last complete reports
     std::vector<RankReport> m_reports; ///< in rank order
     TimePoint m_reportsAt{};
+    unsigned m_unreached = 0; ///< listed ranks that the last reading of reports got no answer from
+    std::uint64_t m_pass = 0; ///< in progress when it was read
     std::uint64_t m_knownEpoch = 0; ///< of m_map
     std::uint64_t m_knownVersion = 0; ///< of m_map
     bool m_mapKnown = false;
     GroupMap m_map;
     std::uint64_t m_switches = 0; ///< of this process; with the term it makes versions unique
     TimePoint m_lastOrder{};
-    std::optional<Duration> m_calmPause; ///< the shortest mean pause since counts were last read
-    TimePoint m_countsAt{}; ///< when counts were last read
+    PaceWatch m_pace;
     bool m_wasLeader = false;
     Counters::Id m_switchesDone;
     Counters::Id m_switchesGivenUp;
--- a/fulmarlink/mapkeepercalls.cpp
+++ b/fulmarlink/mapkeepercalls.cpp
@@ -24,6 +24,7 @@
 constexpr Duration kReportMargin = std::chrono::milliseconds(80); ///< beyond the reports' stated lag
 constexpr Duration kFreshReports = std::chrono::milliseconds(40); ///< a pass chosen from reports read this long ago is still ahead
 constexpr Duration kPollPrepared = std::chrono::milliseconds(120); ///< when a copy takes longer than it should
+constexpr Duration kArmPause = std::chrono::milliseconds(15); ///< a rank whose copy is late refuses to be armed until it is there
 constexpr Duration kUsualPass = std::chrono::milliseconds(50); ///< where no events were seen lately
 constexpr Duration kShortestPass = std::chrono::milliseconds(18); ///< of a group that has work
 constexpr Duration kLongestPrepare = std::chrono::seconds(4); ///< a copy that takes longer is given up; it does no harm
@@ -91,6 +92,7 @@
     }
     std::ranges::sort(order);
     const bool complete = size > 0 && order.size() == size;
+    m_unreached = static_cast<unsigned>(targets.size() - order.size());
     if (!complete) {
         logChange("reports-incomplete",
                   {{"pool", m_pool}, {"asked", std::to_string(targets.size())}, {"got", std::to_string(order.size())}, {"ranks", std::to_string(size)}});
@@ -167,8 +169,7 @@
         asio::co_spawn(m_context, countsOne(i, gather), asio::detached);
     }
     co_await waitFor(gather);
-    m_countsAt = m_state.clock.now();
-    m_calmPause.reset();
+    m_pace.restart(m_state.clock.now());
     for (unsigned i = 0; i < sampled; ++i) {
         const ExpertCountsRead &read = gather->counts[i];
         if (read.error) {
@@ -189,8 +190,9 @@
     gather->finishOne();
 }
 
-asio::awaitable<void> MapKeeper::sendOrders(std::vector<AddressedOrder> orders)
+asio::awaitable<bool> MapKeeper::sendOrders(std::vector<AddressedOrder> orders)
 {
+    bool accepted = true;
     auto gather = std::make_shared<Gather>(m_context, static_cast<unsigned>(orders.size()));
     for (AddressedOrder &order : orders) {
         asio::co_spawn(m_context, sendOne(order.rank, std::move(order.order), gather), asio::detached);
@@ -199,6 +201,7 @@
     m_lastOrder = m_state.clock.now();
     for (const auto &[rank, result] : gather->results) {
         if (result != OrderResult::Accepted) {
+            accepted = false;
             logChange("order-not-accepted",
                       {{"pool", m_pool},
                        {"rank", std::to_string(rank)},
@@ -214,6 +217,19 @@
             m_switch.result(rank, result);
         }
     }
+    co_return accepted;
+}
+
+/** Which pass is in progress: a rank's counts tell it at once, reports only after their lag. */
+asio::awaitable<bool> MapKeeper::readPass()
+{
+    const ExpertCountsRead read = co_await m_platform.readExpertCounts(m_ranks.front(), m_engine.layerSets);
+    if (read.error || read.epoch != m_knownEpoch) {
+        logChange("pass-unknown", {{"pool", m_pool}, {"target", m_ranks.front().id}, {"error", read.error.message()}, {"epoch", std::to_string(read.epoch)}});
+        co_return false;
+    }
+    m_pass = read.pass;
+    co_return true;
 }
 
 /**
@@ -237,6 +253,7 @@
 {
     const TimePoint began = m_state.clock.now();
     const Duration lag = m_engine.reportLag + kReportMargin;
+    TimePoint copiesBegan = began;
     unsigned refusals = 0;
     while (m_switch.phase() != SwitchPhase::Idle) {
         const TimePoint now = m_state.clock.now();
@@ -252,14 +269,24 @@
             choosePass(refusals++);
             continue;
         }
+        if (m_switch.needsPass() && !helping) {
+            const bool known = co_await readPass();
+            if (known) {
+                m_switch.holdAt(m_pass + 1);
+                continue;
+            }
+        }
         if (m_switch.needsReports() || m_switch.needsPass()) {
             Duration wait = m_switch.needsPass() ? Duration(0) : lag;
             if (m_switch.phase() == SwitchPhase::Prepare) {
-                const bool all = now - began < copyTime;
-                wait = all ? began + copyTime - now : kPollPrepared;
+                const bool all = now - copiesBegan < copyTime;
+                wait = all ? copiesBegan + copyTime - now : kPollPrepared;
             }
             co_await sleep(wait);
             m_switch.assumePrepared();
+            if (m_switch.needsPass() && !helping) {
+                continue;
+            }
             const bool complete = co_await readReports();
             if (!complete) {
                 co_await sleep(kFollowerRound);
@@ -272,7 +299,14 @@
             m_switch.observe(m_reports);
             continue;
         }
-        co_await sendOrders(m_switch.orders());
+        const SwitchPhase phase = m_switch.phase();
+        const bool accepted = co_await sendOrders(m_switch.orders());
+        if (phase == SwitchPhase::Prepare) {
+            copiesBegan = m_state.clock.now(); // the last rank's copy begins as late as this
+        }
+        if (phase == SwitchPhase::Arm && !accepted) {
+            co_await sleep(kArmPause);
+        }
         const bool renew = m_lease.step(m_state.clock.now()) == LeaseKeeper::Step::Write && m_switch.phase() == SwitchPhase::Prepare;
         if (renew) {
             co_await keepLease();
--- /dev/null
+++ b/fulmarlink/pacewatch.cpp
@@ -0,0 +1,52 @@
+#include "fulmarlink/pacewatch.h"
+
+#include <algorithm>
+
+namespace fulmarlink
+{
+
+namespace
+{
+
+constexpr Duration kSettle = std::chrono::milliseconds(300); ///< after a switch, some passes, so that the calm pace is known again
+constexpr Duration kLongestRest = std::chrono::milliseconds(5000); ///< without a look at the counts
+constexpr Duration kLongestBlindRest = std::chrono::seconds(12); ///< where this host has no streams by whose pace it could tell
+constexpr double kEasyShare = 0.3; ///< of the gap target: with shorter pauses all are on time, and a switch would serve nobody better
+constexpr double kSlowdown = 1.25; ///< of the calm pause: demand has turned, or the batch has grown
+constexpr double kSilence = 1.5; ///< times the calm pause without an event; prompts lengthen single passes by less
+
+std::chrono::duration<double> seconds(Duration duration)
+{
+    return duration;
+}
+
+} // namespace
+
+void PaceWatch::restart(TimePoint now)
+{
+    m_restarted = now;
+    m_calm.reset();
+}
+
+bool PaceWatch::turned(const PaceView &view, TimePoint now)
+{
+    const Duration rested = now - m_restarted;
+    if (!view.meanPause) {
+        return rested > kLongestBlindRest;
+    }
+    m_calm = m_calm ? std::min(*m_calm, *view.meanPause) : *view.meanPause;
+    const bool easy = seconds(*view.meanPause) < seconds(view.gapTarget) * kEasyShare;
+    if (easy || rested < kSettle) {
+        return false;
+    }
+    const bool slower = seconds(*view.meanPause) > seconds(*m_calm) * kSlowdown;
+    const bool silent = seconds(now - view.lastEvent) > seconds(*m_calm) * kSilence;
+    return slower || silent || rested > kLongestRest;
+}
+
+std::optional<Duration> PaceWatch::calmPause() const
+{
+    return m_calm;
+}
+
+} // namespace fulmarlink
--- a/testing/gatewaysettings_test.cpp
+++ b/testing/gatewaysettings_test.cpp
@@ -71,6 +71,7 @@
                                                        {"listen.ready_addr", "10.1.0.40:8220"},
                                                        {"port_range.0", "7340"},
                                                        {"platform.addr", "10.200.1.7:8223"},
+                                                       {"limits.link_mbps", "1000.0"},
                                                        {"bounds.revoke_ms", "5000"},
                                                        {"bounds.config_ms", "3000"},
                                                        {"bounds.drain_ms", "3000"},
@@ -95,6 +96,17 @@
     EXPECT_EQ(settings.retryWindow.count(), 10'000);
     EXPECT_EQ(settings.configurationBound.count(), 3000);
     EXPECT_DOUBLE_EQ(settings.retrySlack, 124);
+    EXPECT_DOUBLE_EQ(settings.linkMbps, 1000);
+}
+
+TEST(GatewaySettings, TheLinkIsUnknownOrANumber)
+{
+    FileErrors errors;
+    EXPECT_EQ(parse(kGood, errors).linkMbps, 0);
+    EXPECT_EQ(parse(kGood + "link_mbps: \n", errors).linkMbps, 0) << "a platform that does not say it leaves the place empty";
+    EXPECT_EQ(parse(kGood + "link_mbps: 40.5\n", errors).linkMbps, 40.5);
+    EXPECT_TRUE(errors.empty());
+    EXPECT_NE(firstError(kGood + "link_mbps: fast\n"), "");
 }
 
 } // namespace fulmarlink::testing
--- /dev/null
+++ b/testing/harness/fakegroup.cpp
@@ -0,0 +1,247 @@
+#include "testing/harness/fakegroup.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <numeric>
+
+#include "fulmarlink/expertplanner.h"
+#include "fulmarlink/resultcode.h"
+
+namespace fulmarlink::testing
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::uint64_t kEpoch = 1;
+constexpr double kChoicesOfPass = 4000; ///< of one rank
+
+} // namespace
+
+FakeGroup::FakeGroup(asio::io_context &context, FakeGroupOptions options)
+    : m_context(context)
+    , m_options(options)
+    , m_ranks(options.ranks)
+    , m_map(options.ranks)
+    , m_demand(options.experts, 1)
+{
+    for (Rank &rank : m_ranks) {
+        rank.counts.resize(options.experts);
+    }
+    for (unsigned place = 0; place < options.ranks * options.placements; ++place) {
+        const unsigned expert = place % options.experts;
+        auto &held = m_map[place % options.ranks];
+        if (std::ranges::find(held, expert) == held.end()) {
+            held.push_back(static_cast<ExpertId>(expert));
+        }
+    }
+}
+
+TimePoint FakeGroup::now() const
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+void FakeGroup::start(std::function<void(Duration)> passEnded)
+{
+    m_passEnded = std::move(passEnded);
+    asio::co_spawn(m_context, passes(), asio::detached);
+}
+
+void FakeGroup::stop()
+{
+    m_stopped = true;
+}
+
+void FakeGroup::turn(std::vector<double> demand)
+{
+    m_demand = std::move(demand);
+}
+
+std::vector<TargetInfo> FakeGroup::targets() const
+{
+    std::vector<TargetInfo> result;
+    for (unsigned rank = 0; rank < m_options.listed; ++rank) {
+        TargetInfo info;
+        info.id = "rank-" + std::to_string(rank);
+        info.pool = "model";
+        info.slots = 8;
+        result.push_back(info);
+    }
+    return result;
+}
+
+double FakeGroup::imbalance() const
+{
+    return setImbalance(m_map, m_demand);
+}
+
+void FakeGroup::beginPass()
+{
+    ++m_pass;
+    for (Rank &rank : m_ranks) {
+        if (rank.armed != 0 && rank.armedPass == m_pass) {
+            rank.map = rank.armed;
+            rank.armed = 0;
+            m_map = m_next;
+        }
+    }
+    switches += m_ranks.front().map != m_ranks.back().map || m_ranks.front().map == 0 ? 0 : 1;
+    twoMaps = twoMaps || std::ranges::any_of(m_ranks, [&](const Rank &rank) {
+                  return rank.map != m_ranks.front().map;
+              });
+    const double total = std::accumulate(m_demand.begin(), m_demand.end(), 0.0);
+    for (Rank &rank : m_ranks) {
+        for (unsigned expert = 0; expert < m_options.experts; ++expert) {
+            rank.counts[expert] += static_cast<std::uint64_t>(kChoicesOfPass * m_demand[expert] / total);
+        }
+    }
+}
+
+asio::awaitable<void> FakeGroup::passes()
+{
+    boost::system::error_code ignored; // the timer is not cancelled
+    asio::steady_timer timer(m_context);
+    while (!m_stopped) {
+        const TimePoint began = now();
+        while (m_held == m_pass + 1) {
+            timer.expires_after(std::chrono::milliseconds(1));
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+        beginPass();
+        timer.expires_after(std::chrono::duration_cast<std::chrono::microseconds>(m_options.calmPass * imbalance()));
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        m_passEnded(now() - began);
+    }
+}
+
+unsigned FakeGroup::rankOf(const TargetInfo &target) const
+{
+    return static_cast<unsigned>(std::stoul(target.id.substr(target.id.find('-') + 1)));
+}
+
+asio::awaitable<ConfigurationRead> FakeGroup::readConfiguration()
+{
+    co_return ConfigurationRead{ResultCode::StoreUnavailable, {}, {}};
+}
+
+asio::awaitable<TargetsRead> FakeGroup::readTargets()
+{
+    co_return TargetsRead{{}, true, targets(), 0};
+}
+
+asio::awaitable<std::error_code> FakeGroup::announceEntry(std::string /*host*/)
+{
+    co_return std::error_code();
+}
+
+asio::awaitable<EntriesRead> FakeGroup::readEntries()
+{
+    co_return EntriesRead();
+}
+
+asio::awaitable<LeaseRead> FakeGroup::readLease(std::string /*group*/, bool /*allowStale*/)
+{
+    co_return LeaseRead{{}, lease};
+}
+
+asio::awaitable<LeaseRead> FakeGroup::writeLease(std::string /*group*/, LeaseRecord record)
+{
+    ++record.revision;
+    lease = record;
+    co_return LeaseRead{{}, record};
+}
+
+asio::awaitable<RankReportRead> FakeGroup::readRankReport(TargetInfo target)
+{
+    const unsigned index = rankOf(target);
+    const Rank &rank = m_ranks[index];
+    RankReportRead read;
+    read.report.group = "g";
+    read.report.epoch = kEpoch;
+    read.report.rank = index;
+    read.report.size = m_options.ranks;
+    read.report.open = true;
+    read.report.pass = m_pass;
+    read.report.map = rank.map;
+    read.report.prepared = now() >= rank.preparedAt ? rank.prepared : 0;
+    read.report.armed = rank.armed;
+    read.report.armedPass = rank.armedPass;
+    read.report.heldPass = index == 0 ? m_held : std::nullopt;
+    reportsWhileHeld += m_held ? 1 : 0;
+    co_return read;
+}
+
+asio::awaitable<ExpertCountsRead> FakeGroup::readExpertCounts(TargetInfo target, unsigned /*layerSets*/)
+{
+    ExpertCountsRead read;
+    read.epoch = kEpoch;
+    read.pass = m_pass;
+    read.counts = {m_ranks[rankOf(target)].counts};
+    co_return read;
+}
+
+asio::awaitable<RankPlacementRead> FakeGroup::readRankPlacement(TargetInfo target)
+{
+    RankPlacementRead read;
+    read.version = m_ranks.front().map;
+    read.experts = {m_map[rankOf(target)]};
+    co_return read;
+}
+
+OrderResult FakeGroup::prepare(unsigned rank, const RankOrder &order)
+{
+    Rank &state = m_ranks[rank];
+    if (order.version <= state.prepared || state.armed != 0) {
+        return OrderResult::Refused;
+    }
+    const bool late = rank + 1 == m_options.ranks;
+    state.prepared = order.version;
+    state.preparedAt = now() + m_options.copy + (late ? m_options.lateCopy : std::chrono::milliseconds(0));
+    m_next = order.map.front();
+    return OrderResult::Accepted;
+}
+
+OrderResult FakeGroup::arm(Rank &rank, const RankOrder &order) const
+{
+    const bool ready = rank.prepared == order.version && now() >= rank.preparedAt;
+    if (!ready || order.pass <= m_pass) {
+        return OrderResult::Refused;
+    }
+    rank.armed = order.version;
+    rank.armedPass = order.pass;
+    return OrderResult::Accepted;
+}
+
+asio::awaitable<OrderResult> FakeGroup::order(TargetInfo target, RankOrder order)
+{
+    Rank &rank = m_ranks[rankOf(target)];
+    OrderResult result = OrderResult::Refused;
+    switch (order.kind) {
+    case RankOrderKind::Prepare:
+        result = prepare(rankOf(target), order);
+        break;
+    case RankOrderKind::Arm:
+        result = arm(rank, order);
+        break;
+    case RankOrderKind::Hold:
+        if (order.pass > m_pass) {
+            m_held = order.pass;
+            result = OrderResult::Accepted;
+        }
+        break;
+    case RankOrderKind::Go:
+        m_held.reset();
+        result = OrderResult::Accepted;
+        break;
+    }
+    co_return result;
+}
+
+} // namespace fulmarlink::testing
--- a/testing/leasekeeper_test.cpp
+++ b/testing/leasekeeper_test.cpp
@@ -145,4 +145,22 @@
     EXPECT_TRUE(b.holds(at(4002)));
 }
 
+TEST(LeaseKeeper, AHostThatIsLessFitForTheWorkLetsOthersComeFirst)
+{
+    Store store;
+    LeaseKeeper slow(LeaseOptions{.self = "slow", .patience = milliseconds(1000)});
+    LeaseKeeper fast(LeaseOptions{.self = "fast", .patience = milliseconds(100)});
+    for (int ms = 0; ms < 2000; ms += 50) {
+        act(slow, store, ms);
+        act(fast, store, ms);
+    }
+    EXPECT_TRUE(fast.holds(at(2000)));
+    EXPECT_FALSE(slow.holds(at(2000)));
+    store.write(fast.released()); // it leaves, and nobody else comes
+    for (int ms = 2000; ms < 4000; ms += 50) {
+        act(slow, store, ms);
+    }
+    EXPECT_TRUE(slow.holds(at(4000)));
+}
+
 } // namespace fulmarlink::testing
--- /dev/null
+++ b/testing/mapkeeper_test.cpp
@@ -0,0 +1,148 @@
+// The owner of a group's map over a group in memory: a turn of demand is answered, a late
+// copy holds the group no longer than itself, a group that is still starting keeps its owner.
+
+#include "fulmarlink/mapkeeper.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <gtest/gtest.h>
+
+#include "fulmarlink/hostclock.h"
+#include "fulmarlink/log.h"
+#include "platform/platformprotocol.h"
+#include "testing/harness/fakegroup.h"
+
+namespace fulmarlink::testing
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+const std::vector<double> kEven(8, 1);
+const std::vector<double> kOneHot{30, 1, 1, 1, 1, 1, 1, 1};
+
+class MapKeeperTest : public ::testing::Test
+{
+public:
+    void start(FakeGroupOptions options)
+    {
+        startLogging("off");
+        settings.host = "entry";
+        state = std::make_unique<GatewayState>(settings, clock, counters, protocol);
+        group = std::make_unique<FakeGroup>(context, options);
+        group->turn(kEven);
+        Configuration configuration;
+        configuration.version = 1;
+        ServiceSpec service;
+        service.name = "model";
+        service.engine.emplace();
+        service.engine->layerSets = 1;
+        service.engine->experts = options.experts;
+        service.engine->placements = options.placements;
+        service.engine->newPerSwitch = 2;
+        service.engine->expertMb = 1;
+        service.engine->linkMbps = 800; // a copy of 10 ms
+        service.engine->expertShare = 0.8;
+        service.engine->reportLag = 200ms;
+        configuration.services.push_back(service);
+        ASSERT_TRUE(state->config.offer(std::move(configuration)));
+        state->targets.setTargets(group->targets(), clock.now());
+        group->start([this](Duration length) {
+            noteEvents(length);
+        });
+        keeper = std::make_shared<MapKeeper>(context, *state, *group, "model");
+        asio::co_spawn(context, keeper->run(), asio::detached);
+    }
+
+    /** What the streams of a pass tell the gate. */
+    void noteEvents(Duration length)
+    {
+        constexpr unsigned kStreams = 8;
+        PoolGate &gate = state->pool("model").gate;
+        gate.answerSeen(clock.now());
+        for (unsigned i = 0; i < kStreams; ++i) {
+            gate.pauseSeen(length, 100ms, clock.now());
+        }
+    }
+
+    template<typename Condition>
+    bool runUntil(Condition condition, std::chrono::milliseconds limit)
+    {
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (!condition() && std::chrono::steady_clock::now() < end) {
+            context.run_for(5ms);
+        }
+        return condition();
+    }
+
+    ~MapKeeperTest() override
+    {
+        if (state) {
+            state->drainBegan = clock.now();
+            group->stop();
+            context.run_for(500ms);
+        }
+    }
+
+    asio::io_context context;
+    HostClock clock;
+    Counters counters;
+    PlatformProtocol protocol;
+    GatewaySettings settings;
+    std::unique_ptr<GatewayState> state;
+    std::unique_ptr<FakeGroup> group;
+    std::shared_ptr<MapKeeper> keeper;
+};
+
+} // namespace
+
+TEST_F(MapKeeperTest, ATurnOfDemandIsAnsweredAndNoPassHasTwoMaps)
+{
+    start({});
+    context.run_for(1500ms);
+    group->turn(kOneHot);
+    const double before = group->imbalance();
+    EXPECT_TRUE(runUntil(
+        [this] {
+            return group->switches > 0 && group->imbalance() < 1.5;
+        },
+        10s));
+    EXPECT_GT(before, 1.9);
+    EXPECT_FALSE(group->twoMaps);
+}
+
+TEST_F(MapKeeperTest, ACopyThatIsLateHoldsTheGroupNoLongerThanItself)
+{
+    FakeGroupOptions options;
+    options.lateCopy = 100ms;
+    start(options);
+    context.run_for(1500ms);
+    group->turn(kOneHot);
+    EXPECT_TRUE(runUntil(
+        [this] {
+            return group->switches > 0;
+        },
+        10s));
+    EXPECT_FALSE(group->twoMaps);
+    EXPECT_EQ(group->reportsWhileHeld, 0U) << "reports are 0.28 s old: the group would stand for so long";
+}
+
+TEST_F(MapKeeperTest, AGroupThatIsStillStartingKeepsItsOwner)
+{
+    FakeGroupOptions options;
+    options.listed = 2;
+    start(options);
+    ASSERT_TRUE(runUntil(
+        [this] {
+            return group->lease.holder == "entry";
+        },
+        5s));
+    context.run_for(600ms);
+    EXPECT_EQ(group->lease.holder, "entry");
+    EXPECT_LE(group->lease.renewals, 2U);
+}
+
+} // namespace fulmarlink::testing
--- a/testing/platformcodec_test.cpp
+++ b/testing/platformcodec_test.cpp
@@ -32,7 +32,7 @@
     std::string problem;
     const auto configuration = decodeConfiguration(json::parse(R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/","kind":"streaming",
 "timeout_ms":8000,"slo_ms":500,"priority":1,"split":[{"service":"a","weight":90},{"service":"b","weight":10},{"service":"c","weight":0}],"max_attempts":2,"anonymous":false,"affinity":true,
-"resumable":true,"gap_target_ms":120}],"services":[{"name":"a","max_conns":258,"engine":{"slots":12,"stride":4,"read_per_s":61400.0,"sets":4,"experts":64,"placements":5,"spare":2,
+"resumable":true,"gap_target_ms":120}],"services":[{"name":"a","max_conns":258,"engine":{"slots":12,"stride":4,"read_per_s":61400.0,"sets":4,"experts":64,"expert_share":0.85,"placements":5,"spare":2,
 "expert_mb":2500.0,"link_mbps":180000.0,"report_lag_ms":200.0}}],"tenants":[{"name":"t","api_keys":["k"],"priority":3}],"limits":{"idle_timeout_ms":1000}})"),
                                                    problem);
     ASSERT_TRUE(configuration) << problem;
@@ -44,6 +44,7 @@
     const EngineSpec &engine = *configuration->services.front().engine;
     EXPECT_DOUBLE_EQ(engine.readTokensPerMs, 61.4);
     EXPECT_EQ(engine.newPerSwitch, 2U);
+    EXPECT_DOUBLE_EQ(engine.expertShare, 0.85);
     EXPECT_EQ(engine.reportLag, Duration(std::chrono::milliseconds(200)));
     EXPECT_EQ(configuration->customers.front().priority, 3U);
     EXPECT_EQ(configuration->limits.idleTimeout.count(), 1000);
