Streams that can't end in time are refused at once; late groups are looked at sooner

The pace was forgotten 180 ms after the newest event, also where a pass takes longer than that.

Ruled out: the retry budget (never empty there); the freeze of the owner alone (its switch was finished by others after 0.7 s).

Change: the pace is the mean over the newest 180 ms of events and holds for 2.5 s; a stream whose usual number of events takes longer than its caller waits is refused with 134 pool-too-slow and 1.5 s to come back; while streams are late the counts are read after 0.8 s.

--- a/fulmarlink/gatewayexchange.cpp
+++ b/fulmarlink/gatewayexchange.cpp
@@ -127,6 +127,18 @@
     return m_route.pools.front().pool;
 }
 
+/** Of a usual answer of the pool's engine, within what the caller allows; the caller's own guess is often far off. */
+double GatewayExchange::usualEvents() const
+{
+    const ServiceSpec *service = m_active->configuration.service(m_pool);
+    if (!m_route.streaming || service == nullptr || !service->engine) {
+        return 0;
+    }
+    const EngineSpec &engine = *service->engine;
+    const double tokens = m_facts.maxAnswerTokens > 0 ? std::min<double>(m_facts.maxAnswerTokens, engine.usualAnswerTokens) : engine.usualAnswerTokens;
+    return tokens / std::max(1U, engine.stride);
+}
+
 bool GatewayExchange::admit()
 {
     m_deadline = m_arrived + m_facts.deadline.value_or(kDefaultDeadline);
@@ -157,6 +169,8 @@
         load.leastLoad = m_state.targets.load(best->id, m_arrived);
         load.leastLoadKnown = true;
     }
+    load.events = usualEvents();
+    load.timeLeft = m_deadline - m_arrived;
     const GateDecision decision = pool.gate.decide(load, m_arrived, m_state.random);
     if (!decision.admitted) {
         m_reason = "load " + std::to_string(load.leastLoad).substr(0, 4) + " ceiling " + std::to_string(pool.gate.ceiling()).substr(0, 4) + " runners "
--- a/fulmarlink/gatewayexchange.h
+++ b/fulmarlink/gatewayexchange.h
@@ -48,6 +48,7 @@
 
     bool admit();
     bool checkKey();
+    double usualEvents() const;
     bool refuse(ResultCode code, Duration retryAfter = Duration(0));
     const std::string &choosePool();
     boost::asio::awaitable<void> serve();
--- a/fulmarlink/gatewayrelay.cpp
+++ b/fulmarlink/gatewayrelay.cpp
@@ -275,7 +275,6 @@
         m_state.eventPause.observe(pause);
         m_longestPause = std::max(m_longestPause, pause);
         gate.pauseSeen(pause, target, now);
-        gate.recentPause(now); // keeps the window short
     }
     m_lastEvent = now;
     if (target > Duration(0)) {
--- a/fulmarlink/pacewatch.cpp
+++ b/fulmarlink/pacewatch.cpp
@@ -10,6 +10,8 @@
 
 constexpr Duration kSettle = std::chrono::milliseconds(300); ///< after a switch, some passes, so that the calm pace is known again
 constexpr Duration kLongestRest = std::chrono::milliseconds(5000); ///< without a look at the counts
+constexpr Duration kLateRest
+    = std::chrono::milliseconds(800); ///< while streams are late: the pace of a full group says little, and one more look costs 0.02 s of its time
 constexpr Duration kLongestBlindRest = std::chrono::seconds(12); ///< where this host has no streams by whose pace it could tell
 constexpr double kEasyShare = 0.3; ///< of the gap target: with shorter pauses all are on time, and a switch would serve nobody better
 constexpr double kSlowdown = 1.25; ///< of the calm pause: demand has turned, or the batch has grown
@@ -41,7 +43,8 @@
     }
     const bool slower = seconds(*view.meanPause) > seconds(*m_calm) * kSlowdown;
     const bool silent = seconds(now - view.lastEvent) > seconds(*m_calm) * kSilence;
-    return slower || silent || rested > kLongestRest;
+    const bool late = *view.meanPause > view.gapTarget && rested > kLateRest;
+    return slower || silent || late || rested > kLongestRest;
 }
 
 std::optional<Duration> PaceWatch::calmPause() const
--- a/fulmarlink/poolgate.cpp
+++ b/fulmarlink/poolgate.cpp
@@ -15,6 +15,8 @@
 constexpr double kIncrease = 0.03;
 constexpr Duration kOverloadedRetry = std::chrono::milliseconds(350); ///< about the time in which a tenth of the streams in progress end
 constexpr Duration kStalledRetry = std::chrono::milliseconds(900); ///< groups form within 0.6 s of a rank's return
+constexpr Duration kTooSlowRetry
+    = std::chrono::milliseconds(1500); ///< an engine that slows a group down so far does it for seconds, and callers heed a third of their time
 constexpr Duration kEmptyRetry = std::chrono::milliseconds(700);
 
 } // namespace
@@ -39,6 +41,9 @@
     if (load.leastLoad >= m_ceiling) {
         return {false, ResultCode::PoolOverloaded, retryAfter(kOverloadedRetry, random)};
     }
+    if (tooSlow(load, now)) {
+        return {false, ResultCode::PoolTooSlow, retryAfter(kTooSlowRetry, random)};
+    }
     return {};
 }
 
@@ -62,6 +67,10 @@
     m_gapTarget = target;
     m_pauses.emplace_back(now, pause);
     m_pauseSum += pause;
+    while (now - m_pauses.front().first >= kPaceWindow) {
+        m_pauseSum -= m_pauses.front().second;
+        m_pauses.pop_front();
+    }
 }
 
 Duration PoolGate::gapTarget() const
@@ -69,18 +78,20 @@
     return m_gapTarget;
 }
 
-std::optional<Duration> PoolGate::recentPause(TimePoint now)
+std::optional<Duration> PoolGate::recentPause(TimePoint now) const
 {
-    while (!m_pauses.empty() && now - m_pauses.front().first > kPaceWindow) {
-        m_pauseSum -= m_pauses.front().second;
-        m_pauses.pop_front();
-    }
-    if (m_pauses.size() < kLeastPauses) {
+    if (m_pauses.size() < kLeastPauses || now - m_pauses.back().first > kPaceForgotten) {
         return std::nullopt;
     }
     return m_pauseSum / static_cast<Duration::rep>(m_pauses.size());
 }
 
+bool PoolGate::tooSlow(const PoolLoad &load, TimePoint now) const
+{
+    const auto pause = recentPause(now);
+    return load.events > 0 && pause && std::chrono::duration<double>(*pause) * load.events > std::chrono::duration<double>(load.timeLeft);
+}
+
 void PoolGate::refusalSeen(TimePoint now)
 {
     if (++m_refusals == kRefusalsToStall) {
--- a/fulmarlink/poolgate.h
+++ b/fulmarlink/poolgate.h
@@ -15,6 +15,8 @@
     unsigned runners = 0; ///< that may take work
     double leastLoad = 0; ///< of the best runner, in requests for each of its slots
     bool leastLoadKnown = false; ///< false: there is no runner
+    double events = 0; ///< that the request will probably have; 0: not a stream, or not known
+    Duration timeLeft{0}; ///< until its caller or its route gives it up
 };
 
 struct GateDecision {
@@ -32,6 +34,11 @@
  * tenth when pauses between events or first events are late, and rises slowly while
  * they are on time (additive increase, multiplicative decrease).
  *
+ * Too slow: a stream takes as many passes as it has events. Where the passes of now would
+ * not let it end before its deadline it is refused at once: it would take part in making
+ * the others late and end as nothing. A group of which nothing is heard for a while is
+ * tried again.
+ *
  * Stall: a group that has lost a rank refuses everything until it has formed again.
  * After kRefusalsToStall refusals in a row the gate lets one request through at a time,
  * each kProbeInterval, and refuses the others at once.
@@ -44,6 +51,7 @@
     static constexpr unsigned kRefusalsToStall = 4;
     static constexpr Duration kProbeInterval = std::chrono::milliseconds(150);
     static constexpr Duration kPaceWindow = std::chrono::milliseconds(180); ///< a few passes of a loaded group
+    static constexpr Duration kPaceForgotten = std::chrono::milliseconds(2500); ///< longer than callers wait for the next event of a stream
     static constexpr unsigned kLeastPauses = 6;
     static constexpr double kMaxCeiling = 1.5; ///< runners queue about two requests for each slot; half a slot's worth still begins in time
     static constexpr double kMinCeiling = 0.25;
@@ -54,8 +62,8 @@
     void paceSeen(double ratio, TimePoint now);
     /** A stream's events came @p pause apart; feeds recentPause(). */
     void pauseSeen(Duration pause, Duration target, TimePoint now);
-    /** Mean pause between events of the last kPaceWindow; nothing if fewer than kLeastPauses were seen. */
-    std::optional<Duration> recentPause(TimePoint now);
+    /** Mean pause between the events of the newest kPaceWindow; nothing if fewer than kLeastPauses were seen, or none for kPaceForgotten. */
+    std::optional<Duration> recentPause(TimePoint now) const;
     /** The longest pause that is on time, as the newest stream's route says. */
     Duration gapTarget() const;
     /** A runner of the pool proved that it did not run a request. */
@@ -70,6 +78,7 @@
 
 private:
     Duration retryAfter(Duration base, Random &random) const;
+    bool tooSlow(const PoolLoad &load, TimePoint now) const;
 
     double m_ceiling = kMaxCeiling;
     unsigned m_refusals = 0; ///< in a row
--- a/fulmarlink/resultcode.cpp
+++ b/fulmarlink/resultcode.cpp
@@ -52,6 +52,7 @@
      "The store has not confirmed lately that the configuration, and so the API key, is still in force."},
     {ResultCode::PoolOverloaded, "pool-overloaded", 503, NotRun, true, "Every runner of the pool has as many requests as it can answer in time."},
     {ResultCode::PoolStalled, "pool-stalled", 503, NotRun, true, "The pool's runners refuse all work, as a group does that has lost a rank."},
+    {ResultCode::PoolTooSlow, "pool-too-slow", 503, NotRun, true, "The pool's passes take so long that a usual stream could not end before its deadline."},
     {ResultCode::LinkLost, "link-lost", 502, Unknown, false, "The link to the agent broke and the outcome could not be learned before the deadline."},
     {ResultCode::RunnerReplaced, "runner-replaced", 502, Unknown, false, "The agent that took the request is gone; it may have run."},
     {ResultCode::DeadlineAfterDispatch, "deadline-after-dispatch", 504, Unknown, false, "The deadline passed after the request was handed over."},
--- a/fulmarlink/resultcode.h
+++ b/fulmarlink/resultcode.h
@@ -56,6 +56,7 @@
     ConfigurationUnproved = 131,
     PoolOverloaded = 132,
     PoolStalled = 133,
+    PoolTooSlow = 134,
 
     // The outcome is unknown, or the request ran and its answer can't be given.
     LinkLost = 201,
--- a/testing/pacewatch_test.cpp
+++ b/testing/pacewatch_test.cpp
@@ -82,4 +82,14 @@
     EXPECT_TRUE(watch.turned({std::nullopt, TimePoint{}, kTarget}, at(milliseconds(12'100))));
 }
 
+// The load: a group so full that every pass is late, with the right map and with the wrong
+// one; a turn then lengthens passes by less than kSlowdown.
+TEST(PaceWatch, WhileStreamsAreLateTheCountsAreLookedAtSooner)
+{
+    PaceWatch watch;
+    watch.restart(at(milliseconds(0)));
+    EXPECT_FALSE(watch.turned({milliseconds(170), at(milliseconds(390)), kTarget}, at(milliseconds(400))));
+    EXPECT_TRUE(watch.turned({milliseconds(180), at(milliseconds(1090)), kTarget}, at(milliseconds(1100))));
+}
+
 } // namespace fulmarlink::testing
