A slow rank is emptied of experts, gets no requests and hands its streams over

For 9 s next to nothing was served on time. Two faults made it longer: a pass of over 0.5 s looked like a standstill, so the owner did nothing but look for a switch to finish, and a window of counts ended before a pass did.

Ruled out: the map (imbalance 1.2 by the counts); requests alone (with the rank's experts gone and its requests finishing, passes stayed at 0.3 s for 4 s).

Change: where the pace has turned and the map fits, the owner reads how fast each rank works; the planner counts a rank's load as many times as its pace and may leave an expert to its other holders. The owner writes the slow ranks into the lease's record, which the other hosts read anyway each 0.6 s: none sends requests there, and streams that may be resumed go on at another rank within the retry budget. Paces are asked again each second until they are well. A prepare waits until the last switch is in force: armed ranks refuse it (16 refused orders and 0.4 s each time before). A group that starts is looked at each 0.2 s, not each 0.02.

Tests first: planner, target table, lease, keeper over a group in memory, a stream over real sockets. The test of very long passes took 12.8 s with the old rule of standstill, 6.4 s now; it allows 10.

What stays: a rank that is slow by less than 1.5 is left alone.

--- a/fulmarlink/expertplanner.cpp
+++ b/fulmarlink/expertplanner.cpp
@@ -13,6 +13,11 @@
 
 using RankExperts = std::vector<std::vector<ExpertId>>;
 
+double paceOf(std::span<const double> paces, std::size_t rank)
+{
+    return rank < paces.size() ? paces[rank] : 1;
+}
+
 bool contains(const std::vector<ExpertId> &list, ExpertId expert)
 {
     return std::ranges::find(list, expert) != list.end();
@@ -41,7 +46,7 @@
             }
         }
         recompute();
-        m_mean = std::accumulate(m_loads.begin(), m_loads.end(), 0.0) / static_cast<double>(m_loads.size());
+        m_mean = std::accumulate(load.begin(), load.end(), 0.0) / static_cast<double>(m_loads.size());
     }
 
     /** Load of the busiest rank above the mean; 0 once no change is worth it. */
@@ -71,8 +76,9 @@
     struct Change {
         ExpertId expert = 0; ///< of the busiest rank
         std::size_t other = 0; ///< the rank that takes it
-        std::optional<ExpertId> evicted; ///< leaves the other rank
+        std::optional<ExpertId> evicted = std::nullopt; ///< leaves the other rank
         bool exchange = false; ///< the evicted one comes to the busiest rank, and expert leaves it
+        bool drop = false; ///< expert leaves the busiest rank; the others that hold it take its load
         double squares = 0; ///< change of the sum of squared loads
         double relief = 0; ///< of the busiest rank
     };
@@ -82,6 +88,11 @@
         return m_loadOf.get()[expert] / static_cast<double>(std::max<std::size_t>(1, m_holders[expert].size()));
     }
 
+    double pace(std::size_t rank) const
+    {
+        return paceOf(m_optionsOf.get().paces, rank);
+    }
+
     bool isNew(std::size_t rank, ExpertId expert) const
     {
         return !contains(m_before[rank], expert);
@@ -99,18 +110,10 @@
     }
 
     /** A further replica of @p expert at @p other, where @p evicted (held elsewhere too) makes room. */
-    std::optional<Change> replica(std::size_t busiest, ExpertId expert, std::size_t other, std::optional<ExpertId> evicted) const
+    Change replica(std::size_t busiest, ExpertId expert, std::size_t other, std::optional<ExpertId> evicted) const
     {
         const double now = share(expert);
         const double then = m_loadOf.get()[expert] / static_cast<double>(m_holders[expert].size() + 1);
-        Change change{expert, other, evicted, false, 0, now - then};
-        double relief = 0;
-        const auto shift = [&](std::size_t rank, double amount) {
-            if (m_delta[rank] == 0) {
-                m_touched.push_back(rank);
-            }
-            m_delta[rank] += amount;
-        };
         m_touched.clear();
         for (const std::size_t rank : m_holders[expert]) {
             shift(rank, then - now);
@@ -123,12 +126,38 @@
                 shift(rank, rank == other ? -evictedNow : evictedThen - evictedNow);
             }
         }
+        return settled({.expert = expert, .other = other, .evicted = evicted}, busiest);
+    }
+
+    /** @p expert stays on its other holders only. */
+    Change dropped(std::size_t busiest, ExpertId expert) const
+    {
+        const double now = share(expert);
+        const double then = m_loadOf.get()[expert] / static_cast<double>(m_holders[expert].size() - 1);
+        m_touched.clear();
+        for (const std::size_t rank : m_holders[expert]) {
+            shift(rank, rank == busiest ? -now : then - now);
+        }
+        return settled({.expert = expert, .other = busiest, .drop = true}, busiest);
+    }
+
+    /** A change of @p rank's load, kept until settled(). */
+    void shift(std::size_t rank, double amount) const
+    {
+        if (m_delta[rank] == 0) {
+            m_touched.push_back(rank);
+        }
+        m_delta[rank] += amount * pace(rank);
+    }
+
+    /** Completes @p change by the shifts since m_touched was cleared. */
+    Change settled(Change change, std::size_t busiest) const
+    {
         for (const std::size_t rank : m_touched) {
             change.squares += square(m_loads[rank] + m_delta[rank]) - square(m_loads[rank]);
-            relief = rank == busiest ? -m_delta[rank] : relief;
+            change.relief = rank == busiest ? -m_delta[rank] : change.relief;
             m_delta[rank] = 0;
         }
-        change.relief = relief;
         return change;
     }
 
@@ -138,9 +167,10 @@
             return std::nullopt;
         }
         const double moved = share(expert) - share(back);
-        Change change{expert, other, back, true, 0, moved};
-        change.squares = square(m_loads[busiest] - moved) - square(m_loads[busiest]) + square(m_loads[other] + moved) - square(m_loads[other]);
-        return change;
+        m_touched.clear();
+        shift(busiest, -moved);
+        shift(other, moved);
+        return settled({.expert = expert, .other = other, .evicted = back, .exchange = true}, busiest);
     }
 
     void consider(std::optional<Change> change, std::optional<Change> &best) const
@@ -154,6 +184,9 @@
     {
         std::optional<Change> best;
         for (const ExpertId expert : m_ranks[busiest]) {
+            if (m_holders[expert].size() > 1) {
+                consider(dropped(busiest, expert), best);
+            }
             for (std::size_t other = 0; other < m_ranks.size(); ++other) {
                 if (other == busiest || m_loads[other] >= m_loads[busiest] || !mayAdd(other, expert)) {
                     continue;
@@ -190,6 +223,11 @@
 
     void apply(std::size_t busiest, const Change &change)
     {
+        if (change.drop) {
+            remove(busiest, change.expert);
+            recompute();
+            return;
+        }
         if (change.evicted) {
             remove(change.other, *change.evicted);
         }
@@ -206,7 +244,7 @@
         m_loads.assign(m_ranks.size(), 0);
         for (std::size_t rank = 0; rank < m_ranks.size(); ++rank) {
             for (const ExpertId expert : m_ranks[rank]) {
-                m_loads[rank] += share(expert);
+                m_loads[rank] += share(expert) * pace(rank);
             }
         }
     }
@@ -225,7 +263,7 @@
     mutable std::vector<std::size_t> m_touched; ///< ranks whose m_delta is in use
 };
 
-double setImbalance(const std::vector<std::vector<ExpertId>> &ranks, const std::vector<double> &load)
+double setImbalance(const std::vector<std::vector<ExpertId>> &ranks, const std::vector<double> &load, std::span<const double> paces)
 {
     std::vector<unsigned> holders(load.size(), 0);
     for (const auto &experts : ranks) {
@@ -235,12 +273,12 @@
     }
     double most = 0;
     double total = 0;
-    for (const auto &experts : ranks) {
+    for (std::size_t rank = 0; rank < ranks.size(); ++rank) {
         double own = 0;
-        for (const ExpertId expert : experts) {
+        for (const ExpertId expert : ranks[rank]) {
             own += load[expert] / holders[expert];
         }
-        most = std::max(most, own);
+        most = std::max(most, own * paceOf(paces, rank));
         total += own;
     }
     return total > 0 ? most * static_cast<double>(ranks.size()) / total : 1;
@@ -282,8 +320,8 @@
     plan.after = 0;
     const auto sets = static_cast<double>(m_current.size());
     for (std::size_t set = 0; set < m_current.size(); ++set) {
-        plan.before += setImbalance(m_current[set], m_load[set]) / sets;
-        plan.after += setImbalance(m_searches[set].ranks(), m_load[set]) / sets;
+        plan.before += setImbalance(m_current[set], m_load[set], m_options.paces) / sets;
+        plan.after += setImbalance(m_searches[set].ranks(), m_load[set], m_options.paces) / sets;
         plan.map.push_back(m_searches[set].ranks());
     }
     plan.copies = std::accumulate(m_copies.begin(), m_copies.end(), 0U);
--- a/fulmarlink/expertplanner.h
+++ b/fulmarlink/expertplanner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <span>
 #include <vector>
 
 #include "fulmarlink/rankorders.h"
@@ -14,6 +15,7 @@
     /** A change must take away this share of the busiest rank's excess over the mean; smaller ones cost more copying than they save. */
     double leastGain = 0.04;
     unsigned maxChanges = 768; ///< bounds the search
+    std::vector<double> paces = {}; ///< by rank, how many times longer its work takes than it should; empty: 1 each
 };
 
 /** What a plan changes. */
@@ -25,8 +27,8 @@
     unsigned mostCopies = 0; ///< of one rank, over all sets; they are copied one after the other
 };
 
-/** Busiest rank over mean rank of one set; 1 is perfect. */
-double setImbalance(const std::vector<std::vector<ExpertId>> &ranks, const std::vector<double> &load);
+/** Busiest rank over mean rank of one set; 1 is perfect. @p paces as in the options: the busiest is the one that takes longest. */
+double setImbalance(const std::vector<std::vector<ExpertId>> &ranks, const std::vector<double> &load, std::span<const double> paces = {});
 
 /**
  * Improves the map of a group for the given loads (by set, by expert).
@@ -34,7 +36,8 @@
  * Step by step, in the set whose busiest rank has most above the mean, that rank is
  * relieved by the change that lowers the sum of the squared rank loads most: a further
  * replica elsewhere (in a free place, or in that of an expert that is held twice), or an
- * exchange with an expert of a less loaded rank. It ends when no change is worth its
+ * exchange with an expert of a less loaded rank, or by leaving an expert to its other
+ * holders. A rank's load counts as many times as its pace, so a slow rank is emptied. It ends when no change is worth its
  * copying, or when every rank has taken as many new experts as one switch allows.
  *
  * How to use: improve() until it gives false, with other work in between if a plan for a
--- a/fulmarlink/gatewayexchange.h
+++ b/fulmarlink/gatewayexchange.h
@@ -68,6 +68,7 @@
     void noteEvents(TimePoint now);
     void noteAttempt(const TargetInfo &target, AttemptEnd end, TimePoint began);
     bool mayRetry();
+    bool shouldMove();
     Duration timeLeft() const;
     Duration answerPatience() const;
     AttemptState attemptState(AttemptEnd end) const;
--- a/fulmarlink/gatewayrelay.cpp
+++ b/fulmarlink/gatewayrelay.cpp
@@ -234,6 +234,11 @@
                 co_return AttemptEnd::Broken;
             }
         }
+        if (!error && !parser.is_done() && shouldMove()) {
+            m_reason = "moved from a slow runner";
+            m_events.reset();
+            co_return AttemptEnd::Broken;
+        }
         if (error || m_events.tooLong()) {
             m_reason = "stream: " + error.message();
             m_events.reset();
@@ -260,6 +265,23 @@
     co_return AttemptEnd::Answered;
 }
 
+/**
+ * Whether the stream should go on at another runner since its own is slow. A group in
+ * lock-step waits for the slow rank's writers for as long as they last: with 12 of them at a
+ * twelfth of the speed passes stay at 0.3 s for 4 s after its experts have been taken away.
+ */
+bool GatewayExchange::shouldMove()
+{
+    if (!m_route.resumable || !m_state.targets.isSlow(m_target) || m_gone) {
+        return false;
+    }
+    const TimePoint now = m_state.clock.now();
+    const TargetInfo *other = m_state.targets.pick(m_pool, m_tried, now, m_state.random);
+    const bool better = other != nullptr && !m_state.targets.isSlow(other->id);
+    AttemptState state = attemptState(AttemptEnd::Broken);
+    return better && mayRetry() && nextStep(state) == NextStep::Again && m_state.pool(m_pool).budget.hasRoom(now);
+}
+
 void GatewayExchange::noteEvents(TimePoint now)
 {
     PoolGate &gate = m_state.pool(m_pool).gate;
--- a/fulmarlink/grouplease.cpp
+++ b/fulmarlink/grouplease.cpp
@@ -78,6 +78,11 @@
     m_keeper.setPatience(patience);
 }
 
+void GroupLease::setSlowTargets(std::vector<std::string> ids)
+{
+    m_keeper.setSlowTargets(std::move(ids));
+}
+
 bool GroupLease::holds() const
 {
     return m_keeper.holds(m_state.clock.now());
--- a/fulmarlink/grouplease.h
+++ b/fulmarlink/grouplease.h
@@ -31,6 +31,9 @@
     /** How long this host lets others come first; see LeaseOptions. */
     void setPatience(Duration patience);
 
+    /** Tells the other hosts which ranks are slow. */
+    void setSlowTargets(std::vector<std::string> ids);
+
     bool holds() const;
     std::uint64_t termId() const;
     const LeaseRecord &record() const;
--- a/fulmarlink/leasekeeper.cpp
+++ b/fulmarlink/leasekeeper.cpp
@@ -24,7 +24,7 @@
         return Step::Read;
     }
     if (m_holding) {
-        return now - m_renewed >= m_options.renewAfter ? Step::Write : Step::Wait;
+        return (m_slowTargets && *m_slowTargets != m_seen.slowTargets) || now - m_renewed >= m_options.renewAfter ? Step::Write : Step::Wait;
     }
     const bool own = m_seen.holder == m_options.self; // of an earlier start of this process
     const bool free = m_seen.revision == 0 || m_seen.holder.empty();
@@ -40,9 +40,17 @@
     LeaseRecord record = m_seen;
     record.holder = m_options.self;
     ++record.renewals;
+    if (m_holding && m_slowTargets) {
+        record.slowTargets = *m_slowTargets;
+    }
     return record;
 }
 
+void LeaseKeeper::setSlowTargets(std::vector<std::string> ids)
+{
+    m_slowTargets = std::move(ids);
+}
+
 LeaseRecord LeaseKeeper::released() const
 {
     LeaseRecord record = m_seen;
@@ -75,6 +83,7 @@
     const bool lapsed = began - m_renewed >= m_options.term && !mutated(Mutation::KeepTerm);
     if (!m_holding || lapsed) { // it had lapsed: somebody else may have held it meanwhile
         m_term = written.record.revision;
+        m_slowTargets.reset();
     }
     m_holding = true;
     m_seen = written.record;
@@ -85,6 +94,7 @@
 void LeaseKeeper::yield(TimePoint until)
 {
     m_holding = false;
+    m_slowTargets.reset();
     m_known = false;
     m_yieldedUntil = until;
 }
--- a/fulmarlink/leasekeeper.h
+++ b/fulmarlink/leasekeeper.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "fulmarlink/clock.h"
 #include "fulmarlink/platform.h"
@@ -42,6 +44,8 @@
     void readDone(const LeaseRead &read, TimePoint now);
     /** @p began is when the write was sent. */
     void writeDone(const LeaseRead &written, TimePoint began, TimePoint now);
+    /** What the next records say of ranks that are slow; a change is written at once. */
+    void setSlowTargets(std::vector<std::string> ids);
     /** What to write so that others may take over at once. */
     LeaseRecord released() const;
 
@@ -59,6 +63,7 @@
     TimePoint m_seenChanged{}; ///< when it was first seen
     bool m_known = false; ///< m_seen is from a read
     bool m_holding = false;
+    std::optional<std::vector<std::string>> m_slowTargets; ///< what this holder knows; nothing: what the record says
     std::uint64_t m_term = 0;
     TimePoint m_renewed{}; ///< beginning of the last renewal that was confirmed
     TimePoint m_lastRead{};
--- a/fulmarlink/mapkeeper.cpp
+++ b/fulmarlink/mapkeeper.cpp
@@ -28,10 +28,15 @@
 constexpr Duration kLongestWindow = std::chrono::milliseconds(300); ///< of the counts that a plan rests on, where no event tells that a pass has begun
 constexpr Duration kPassPoll = std::chrono::milliseconds(8); ///< a tenth of a usual pass
 constexpr Duration kSamePass = std::chrono::milliseconds(15); ///< events of one pass arrive within this: a way between zones and a busy host
+constexpr Duration kLongestPass = std::chrono::milliseconds(2000); ///< of a group that is worth ordering about
 constexpr unsigned kWindowPasses = 2; ///< at the most
 constexpr Duration kFollowerRound = std::chrono::milliseconds(150);
 constexpr Duration kStandstill = std::chrono::milliseconds(500); ///< longer than any pass, shorter than callers' patience
+constexpr int kStandstillPasses = 2; ///< a group with a slow rank makes passes of over a second and still moves
 constexpr Duration kHelpSpread = std::chrono::milliseconds(250); ///< entries that see a standstill look at the reports one after the other
+constexpr double kSlowPace = 1.5; ///< a rank that takes half as long again makes every pass longer than a wrong map's second best plan would
+constexpr Duration kSlowLook = std::chrono::milliseconds(1000); ///< at ranks that were slow; an engine's trouble lasts seconds
+constexpr Duration kUnknownLook = std::chrono::milliseconds(200); ///< at a group that forms or starts, as old as its reports are
 constexpr Duration kBlindLook = std::chrono::milliseconds(1000); ///< a host without streams asks a rank for its pass so often
 constexpr std::uint64_t kWorkingPasses = 3; ///< in that time: the group has work, so that other hosts see its pace
 constexpr Duration kBlindPatience = std::chrono::milliseconds(1500); ///< longer than hosts with streams need to see a lease that was left
@@ -110,7 +115,10 @@
     if (it == m_state.pools.end() || m_state.targets.ownRequests(m_pool) == 0) {
         return false;
     }
-    return m_state.clock.now() - it->second.gate.lastAnswer() > kStandstill && it->second.gate.lastAnswer() != TimePoint{};
+    const TimePoint now = m_state.clock.now();
+    const PoolGate &gate = it->second.gate;
+    const Duration usual = gate.recentPause(now).value_or(Duration(0)) * kStandstillPasses;
+    return gate.lastAnswer() != TimePoint{} && now - gate.lastAnswer() > std::max(kStandstill, usual);
 }
 
 /** What the host does when its lease has begun or ended. */
@@ -127,6 +135,8 @@
                    {"renewals", std::to_string(m_lease.record().renewals)}});
         m_mapKnown = false;
         m_blindPass = 0;
+        m_switchPass = 0;
+        m_paces.clear();
         m_load.clear();
         if (leader) {
             co_await recover();
@@ -153,6 +163,7 @@
         const bool streams = m_state.pool(m_pool).gate.recentPause(m_state.clock.now()).has_value();
         m_lease.setPatience(takeoverPatience(m_state.settings.linkMbps) + (streams ? Duration(0) : kBlindPatience));
         co_await noteLease();
+        applySlowTargets();
         if (m_lease.holds() && !standsStill()) {
             co_await leaderRound();
         }
@@ -183,20 +194,82 @@
     co_return known &&before != 0 && m_pass >= before + kWorkingPasses;
 }
 
+/** Reads how fast each rank works; true if that has changed. */
+asio::awaitable<bool> MapKeeper::lookForSlowRanks()
+{
+    m_pacesAt = m_state.clock.now();
+    const bool complete = co_await readReports();
+    if (!complete) {
+        co_return false;
+    }
+    std::vector<double> paces;
+    std::vector<std::string> slow;
+    std::string text;
+    for (unsigned rank = 0; rank < m_reports.size(); ++rank) {
+        const bool isSlow = m_reports[rank].pace >= kSlowPace;
+        paces.push_back(isSlow ? m_reports[rank].pace : 1);
+        if (!isSlow) {
+            continue;
+        }
+        slow.push_back(m_ranks[rank].id);
+        text += (text.empty() ? "" : ",") + m_ranks[rank].id + ':' + fixed(m_reports[rank].pace);
+    }
+    const bool any = !slow.empty() || std::ranges::any_of(m_paces, [](double pace) {
+        return pace > 1;
+    });
+    const bool changed = any && paces != m_paces;
+    if (changed) {
+        logWarning("slow-ranks", {{"pool", m_pool}, {"ranks", text}, {"of", std::to_string(m_reports.size())}});
+    }
+    m_paces = std::move(paces);
+    m_lease.setSlowTargets(std::move(slow));
+    co_return changed;
+}
+
+/** Requests go to the ranks that are not slow, here and on every other host. */
+void MapKeeper::applySlowTargets()
+{
+    if (m_lease.record().slowTargets == m_slowTargets) {
+        return;
+    }
+    m_slowTargets = m_lease.record().slowTargets;
+    m_state.targets.setSlow(m_pool, m_slowTargets);
+    logChange("slow-targets", {{"pool", m_pool}, {"count", std::to_string(m_slowTargets.size())}, {"holder", m_lease.record().holder}});
+}
+
 /** Until events tell that a pass has ended and the next one begun. */
 asio::awaitable<void> MapKeeper::waitForPass()
 {
     const PoolGate &gate = m_state.pool(m_pool).gate;
     const TimePoint began = m_state.clock.now();
     const TimePoint seen = gate.lastAnswer();
-    while (gate.lastAnswer() - seen < kSamePass && m_state.clock.now() - began < kLongestWindow) {
+    const Duration limit = std::max(kLongestWindow, gate.recentPause(began).value_or(Duration(0)) * kStandstillPasses);
+    while (gate.lastAnswer() - seen < kSamePass && m_state.clock.now() - began < limit) {
         co_await sleep(kPassPoll);
     }
 }
 
+/** Until the last switch is in force: a rank that is armed takes no new map. */
+asio::awaitable<void> MapKeeper::waitForSwitch()
+{
+    const TimePoint began = m_state.clock.now();
+    while (m_pass < m_switchPass && m_state.clock.now() - began < kLongestPass) {
+        co_await waitForPass();
+        const bool known = co_await readPass();
+        if (!known) {
+            co_return;
+        }
+    }
+}
+
 asio::awaitable<void> MapKeeper::leaderRound()
 {
     if (!m_mapKnown) {
+        const TimePoint now = m_state.clock.now();
+        if (now - m_unknownLook < kUnknownLook) {
+            co_return;
+        }
+        m_unknownLook = now;
         const bool complete = co_await readReports();
         if (!complete || !groupSettled(m_reports)) {
             co_return;
@@ -211,6 +284,10 @@
         co_await leave(); // a host that has streams sees turns at once
         co_return;
     }
+    const bool slowKnown = !m_lease.record().slowTargets.empty() || !m_slowTargets.empty();
+    if (slowKnown && m_state.clock.now() - m_pacesAt > kSlowLook) {
+        co_await lookForSlowRanks(); // whether they are slow still
+    }
     if (!paceTurned()) {
         co_return;
     }
@@ -228,16 +305,22 @@
     if (load.size() != m_map.size() || load.front().size() != m_engine.experts) {
         co_return;
     }
+    const double least = kLeastImprovement * m_state.settings.costWeight / std::max(kLeastWeight, m_state.settings.skewWeight);
     for (const Duration budget : {kFirstCopyBudget, kCopyBudget}) {
-        const ExpertPlan plan = co_await planned(load, budget);
-        const double least = kLeastImprovement * m_state.settings.costWeight / std::max(kLeastWeight, m_state.settings.skewWeight);
+        ExpertPlan plan = co_await planned(load, budget);
+        if (plan.before - plan.after < least) {
+            const bool changed = co_await lookForSlowRanks(); // the map fits, and still passes are long
+            if (!changed) {
+                break;
+            }
+            plan = co_await planned(load, budget);
+        }
         if (plan.before - plan.after >= least) {
             co_await change(plan);
         }
         if (!m_mapKnown || !restNeeded(calm, plan.after)) {
             break;
         }
-        co_await waitForPass(); // a rank that is armed takes no new map
     }
 }
 
@@ -258,6 +341,7 @@
     ExpertPlanOptions options;
     options.placements = spec.placements;
     options.newPerSwitch = spec.newPerSwitch;
+    options.paces = m_paces;
     const double copySeconds = spec.expertMb * kMegabitsPerMegabyte / std::max(1.0, spec.linkMbps);
     options.newPerRank = static_cast<unsigned>(std::max(1.0, std::chrono::duration<double>(copyBudget).count() / copySeconds));
     ExpertPlanner planner(m_map, load, options);
@@ -309,6 +393,7 @@
     const std::uint64_t version = m_lease.termId() * kVersionsOfTerm + ++m_switches % kVersionsOfTerm;
     const double copySeconds = plan.mostCopies * spec.expertMb * kMegabitsPerMegabyte / std::max(1.0, spec.linkMbps);
     const auto copyTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(copySeconds * kCopyMargin));
+    co_await waitForSwitch();
     const TimePoint began = m_state.clock.now();
     m_switch.begin(static_cast<unsigned>(m_ranks.size()), m_knownEpoch, version, plan.map);
     m_mapKnown = false;
@@ -329,6 +414,7 @@
                {"ms", std::to_string((m_state.clock.now() - began).count() / 1000)}});
     if (done) {
         m_pace.restart(m_state.clock.now());
+        m_switchPass = m_switch.pass();
         m_map = std::move(plan.map);
         m_knownVersion = version;
         m_mapKnown = true;
--- a/fulmarlink/mapkeeper.h
+++ b/fulmarlink/mapkeeper.h
@@ -36,12 +36,15 @@
     struct Gather;
 
     boost::asio::awaitable<void> noteLease();
+    boost::asio::awaitable<bool> lookForSlowRanks();
+    void applySlowTargets();
     boost::asio::awaitable<bool> blind();
     boost::asio::awaitable<void> leaderRound();
     boost::asio::awaitable<bool> readReports();
     boost::asio::awaitable<bool> readPlacements();
     boost::asio::awaitable<void> readCounts();
     boost::asio::awaitable<void> waitForPass();
+    boost::asio::awaitable<void> waitForSwitch();
     boost::asio::awaitable<void> recover();
     boost::asio::awaitable<ExpertPlan> planned(const std::vector<std::vector<double>> &load, Duration copyBudget);
     bool restNeeded(std::optional<Duration> calm, double imbalance);
@@ -73,8 +76,13 @@
     std::vector<TargetInfo> m_ranks; ///< in rank order, of the last complete reports
     std::vector<RankReport> m_reports; ///< in rank order
     TimePoint m_reportsAt{};
+    std::vector<double> m_paces; ///< of the ranks, in rank order; 1 for those that are not slow
+    TimePoint m_pacesAt{}; ///< when they were read
+    std::vector<std::string> m_slowTargets; ///< as the lease's record last said
+    TimePoint m_unknownLook{}; ///< when the map in use was last asked for in vain
     unsigned m_unreached = 0; ///< listed ranks that the last reading of reports got no answer from
     std::uint64_t m_pass = 0; ///< in progress when it was read
+    std::uint64_t m_switchPass = 0; ///< as which the last switch comes into force
     std::uint64_t m_knownEpoch = 0; ///< of m_map
     std::uint64_t m_knownVersion = 0; ///< of m_map
     bool m_mapKnown = false;
--- a/fulmarlink/mapkeepercalls.cpp
+++ b/fulmarlink/mapkeepercalls.cpp
@@ -178,7 +178,9 @@
         }
         if (read.epoch != m_knownEpoch) {
             m_mapKnown = false;
+            m_switchPass = 0;
         }
+        m_pass = read.pass;
         m_load.add(gather->targets[i].id, read);
     }
 }
--- a/fulmarlink/platform.h
+++ b/fulmarlink/platform.h
@@ -40,6 +40,7 @@
     std::uint64_t revision = 0; ///< 0: there is no record
     std::string holder;
     std::uint64_t renewals = 0; ///< changes with each renewal, so that the others see that the holder lives
+    std::vector<std::string> slowTargets; ///< ids of ranks that work far below their speed, as the holder knows
 };
 
 struct LeaseRead {
--- a/fulmarlink/targettable.cpp
+++ b/fulmarlink/targettable.cpp
@@ -80,7 +80,7 @@
         if (state.info.pool != pool || !usable(state, now) || tried.contains(id)) {
             continue;
         }
-        const bool ejected = state.ejectedUntil > now;
+        const bool ejected = state.ejectedUntil > now || state.slow;
         const double value = score(state, now);
         if (best != nullptr && (ejected != bestEjected ? ejected : value > bestScore)) {
             continue;
@@ -173,6 +173,21 @@
     return true;
 }
 
+void TargetTable::setSlow(std::string_view pool, const std::vector<std::string> &ids)
+{
+    for (auto &[id, state] : m_states) {
+        if (state.info.pool == pool) {
+            state.slow = std::ranges::find(ids, id) != ids.end();
+        }
+    }
+}
+
+bool TargetTable::isSlow(const std::string &id) const
+{
+    const auto it = m_states.find(id);
+    return it != m_states.end() && it->second.slow;
+}
+
 double TargetTable::load(const std::string &id, TimePoint now) const
 {
     const auto it = m_states.find(id);
--- a/fulmarlink/targettable.h
+++ b/fulmarlink/targettable.h
@@ -51,7 +51,7 @@
  * A runner's load is this entry's own requests there plus what the runner last said of
  * the others', which fades with age. Requests go to the least loaded for its slots; the
  * own availability zone wins ties. A runner that fails several times in a row is passed
- * over for a while, unless all are.
+ * over for a while, unless all are; so is one that is known to be slow.
  *
  * Contract: a runner that is leaving or gone in the newest list is never picked. Pure;
  * not thread-safe; pick() is O(runners of the pool).
@@ -84,6 +84,11 @@
     /** A failure that speaks against the runner. True if it is passed over from now on. */
     bool failed(const std::string &id, TimePoint now);
 
+    /** The runners of @p pool that work far below their speed; the others of the pool don't. */
+    void setSlow(std::string_view pool, const std::vector<std::string> &ids);
+
+    bool isSlow(const std::string &id) const;
+
     /** Requests for each slot at @p id, as pick() compares them. */
     double load(const std::string &id, TimePoint now) const;
     unsigned available(std::string_view pool, TimePoint now) const;
@@ -102,6 +107,7 @@
         TimePoint heardAt{};
         unsigned failures = 0; ///< in a row
         TimePoint ejectedUntil{};
+        bool slow = false;
     };
 
     bool usable(const State &state, TimePoint now) const;
--- a/fulmarlink/windowbudget.h
+++ b/fulmarlink/windowbudget.h
@@ -34,6 +34,8 @@
 
     void setOptions(WindowBudgetOptions options);
     void countRequest(TimePoint now);
+    /** True if one more repeat would keep the bound now. */
+    bool hasRoom(TimePoint now);
     /** True, and counted, if one more repeat keeps the bound. */
     bool takeRepeat(TimePoint now);
 
--- a/testing/expertplanner_test.cpp
+++ b/testing/expertplanner_test.cpp
@@ -141,4 +141,47 @@
     EXPECT_EQ(load.gathered(), 0);
 }
 
+// The load: one rank of a group works at a twelfth of its speed, and all wait for it.
+TEST(ExpertPlanner, ASlowRankIsEmptiedInFewSwitches)
+{
+    constexpr unsigned kRanks = 16;
+    constexpr unsigned kSlow = 3;
+    GroupMap map(4, std::vector<std::vector<ExpertId>>(kRanks));
+    for (auto &set : map) {
+        for (unsigned place = 0; place < kRanks * 5; ++place) {
+            set[(place + place / 64) % kRanks].push_back(static_cast<ExpertId>(place % 64));
+        }
+    }
+    const auto load = powerLaw(4, 64, 0.3, 7);
+    ExpertPlanOptions options = smallGroup();
+    options.paces.assign(kRanks, 1);
+    options.paces[kSlow] = 12;
+    double before = 0;
+    double after = 0;
+    for (unsigned i = 0; i < 3; ++i) {
+        const ExpertPlan plan = planExperts(map, load, options);
+        before = i == 0 ? plan.before : before;
+        after = plan.after;
+        map = plan.map;
+    }
+    EXPECT_GT(before, 10);
+    EXPECT_LT(after, 1.6);
+    for (const auto &set : map) {
+        std::set<ExpertId> held;
+        for (const auto &rank : set) {
+            held.insert(rank.begin(), rank.end());
+        }
+        EXPECT_EQ(held.size(), 64U);
+        EXPECT_LE(set[kSlow].size(), 1U);
+    }
+}
+
+TEST(ExpertPlanner, ImbalanceCountsARanksPace)
+{
+    const std::vector<std::vector<ExpertId>> ranks{{0}, {1}};
+    const std::vector<double> load{1, 1};
+    EXPECT_DOUBLE_EQ(setImbalance(ranks, load), 1);
+    EXPECT_DOUBLE_EQ(setImbalance(ranks, load, std::vector<double>{1, 3}), 3);
+}
+
 } // namespace fulmarlink::testing
--- a/testing/gateway_test.cpp
+++ b/testing/gateway_test.cpp
@@ -579,4 +579,46 @@
     EXPECT_EQ(runs(), 0U);
 }
 
+// The load: one rank of a group works far below its speed; the owner of the group's map says so.
+TEST_F(GatewayTest, AStreamAtASlowRunnerGoesOnElsewhereWithoutAGap)
+{
+    constexpr unsigned kEvents = 60;
+    json::value grouped = json::parse(kConfiguration);
+    grouped.at("services").at(0).as_object()["engine"] = json::object{{"slots", 4}, {"sets", 1}, {"experts", 4}, {"placements", 2}};
+    store.set("config", "main", grouped);
+    const auto lease = [this](unsigned renewals, const json::array &slow) {
+        store.set("fulmarlink-leases", "plain", json::object{{"holder", "other"}, {"renewals", renewals}, {"slow", slow}});
+    };
+    lease(1, {});
+    a.events = kEvents;
+    b.events = kEvents;
+    a.work = 40ms;
+    b.work = 40ms;
+    start();
+    auto answer = std::make_shared<Answer>();
+    auto done = std::make_shared<bool>(false);
+    asio::co_spawn(context, exchange(request("/stream/x"), answer, done), asio::detached);
+    ASSERT_TRUE(runUntil(
+        [this] {
+            return runs() == 1;
+        },
+        2s));
+    context.run_for(200ms);
+    const std::string slow = a.ran.empty() ? "i-b" : "i-a";
+    lease(2, {slow.c_str()});
+    EXPECT_TRUE(runUntil(
+        [done] {
+            return *done;
+        },
+        8s));
+    std::string expected;
+    for (unsigned i = 0; i < kEvents; ++i) {
+        expected += "id: " + std::to_string(i) + "\ndata: part " + std::to_string(i) + "\n\n";
+    }
+    EXPECT_TRUE(answer->whole);
+    EXPECT_EQ(answer->body, expected);
+    EXPECT_EQ(runs(), 2U);
+    EXPECT_EQ(a.abandoned + b.abandoned, 1U);
+}
+
 } // namespace fulmarlink::testing
--- a/testing/harness/fakegroup.cpp
+++ b/testing/harness/fakegroup.cpp
@@ -30,6 +30,7 @@
     , m_ranks(options.ranks)
     , m_map(options.ranks)
     , m_demand(options.experts, 1)
+    , m_paces(options.ranks, 1)
 {
     for (Rank &rank : m_ranks) {
         rank.counts.resize(options.experts);
@@ -64,6 +65,11 @@
     m_demand = std::move(demand);
 }
 
+void FakeGroup::slow(unsigned rank, double pace)
+{
+    m_paces[rank] = pace;
+}
+
 std::vector<TargetInfo> FakeGroup::targets() const
 {
     std::vector<TargetInfo> result;
@@ -79,7 +85,7 @@
 
 double FakeGroup::imbalance() const
 {
-    return setImbalance(m_map, m_demand);
+    return setImbalance(m_map, m_demand, m_paces);
 }
 
 void FakeGroup::beginPass()
@@ -177,6 +183,7 @@
     read.report.pass = m_pass;
     read.report.map = rank.map;
     read.report.prepared = now() >= rank.preparedAt ? rank.prepared : 0;
+    read.report.pace = m_paces[index];
     read.report.armed = rank.armed;
     read.report.armedPass = rank.armedPass;
     read.report.heldPass = index == 0 ? m_held : std::nullopt;
--- a/testing/harness/fakegroup.h
+++ b/testing/harness/fakegroup.h
@@ -34,6 +34,8 @@
     void stop();
     /** Demand: how often each expert is chosen, in any unit. */
     void turn(std::vector<double> demand);
+    /** @p rank takes @p pace times as long for everything. */
+    void slow(unsigned rank, double pace);
     std::vector<TargetInfo> targets() const;
     /** Busiest rank over mean with the map in use. */
     double imbalance() const;
@@ -79,6 +81,7 @@
     std::vector<std::vector<ExpertId>> m_map; ///< in use, by rank
     std::vector<std::vector<ExpertId>> m_next; ///< of the newest prepare
     std::vector<double> m_demand;
+    std::vector<double> m_paces;
     std::uint64_t m_pass = 0;
     std::optional<std::uint64_t> m_held;
     bool m_stopped = false;
--- a/testing/leasekeeper_test.cpp
+++ b/testing/leasekeeper_test.cpp
@@ -163,4 +163,26 @@
     EXPECT_TRUE(slow.holds(at(4000)));
 }
 
+TEST(LeaseKeeper, WhatTheHolderKnowsOfSlowRanksIsWrittenAtOnceAndOutlivesIt)
+{
+    Store store;
+    LeaseKeeper a = keeper("a");
+    act(a, store, 0);
+    act(a, store, 10);
+    ASSERT_TRUE(a.holds(at(20)));
+    const LeaseRecord underWay = a.toWrite();
+    a.setSlowTargets({"rank-2"});
+    a.writeDone(store.write(underWay), at(20), at(30)); // a renewal that was sent before does not hide it
+    EXPECT_EQ(a.step(at(40)), Step::Write);
+    act(a, store, 40);
+    EXPECT_EQ(store.record.slowTargets, std::vector<std::string>{"rank-2"});
+    EXPECT_EQ(a.step(at(50)), Step::Wait);
+    store.write(a.released());
+    LeaseKeeper b = keeper("b");
+    act(b, store, 100);
+    act(b, store, 110);
+    EXPECT_TRUE(b.holds(at(120)));
+    EXPECT_EQ(b.record().slowTargets, std::vector<std::string>{"rank-2"});
+}
+
 } // namespace fulmarlink::testing
--- a/testing/mapkeeper_test.cpp
+++ b/testing/mapkeeper_test.cpp
@@ -187,4 +187,46 @@
         6s));
 }
 
+// The load: one rank works at an eighth of its speed, and the whole group waits for it.
+TEST_F(MapKeeperTest, ASlowRankIsEmptiedMadeKnownAndTakenBack)
+{
+    start({});
+    context.run_for(1500ms);
+    group->slow(2, 8);
+    const double before = group->imbalance();
+    EXPECT_TRUE(runUntil(
+        [this] {
+            return group->lease.slowTargets == std::vector<std::string>{"rank-2"} && group->imbalance() < 3;
+        },
+        15s))
+        << group->imbalance();
+    EXPECT_GT(before, 6);
+    EXPECT_FALSE(group->twoMaps);
+    Random random(1);
+    const TargetInfo *picked = state->targets.pick("model", {"rank-0", "rank-1"}, clock.now(), random);
+    ASSERT_NE(picked, nullptr);
+    EXPECT_EQ(picked->id, "rank-3");
+    group->slow(2, 1);
+    EXPECT_TRUE(runUntil(
+        [this] {
+            return group->lease.slowTargets.empty();
+        },
+        5s));
+}
+
+// The load: a rank so slow that a pass takes over half a second, which looks like a standstill.
+TEST_F(MapKeeperTest, AGroupOfVeryLongPassesIsStillLookedAfter)
+{
+    start({});
+    context.run_for(1500ms);
+    group->slow(1, 40);
+    EXPECT_TRUE(runUntil(
+        [this] {
+            return group->imbalance() < 5;
+        },
+        10s))
+        << group->imbalance();
+    EXPECT_FALSE(group->twoMaps);
+}
+
 } // namespace fulmarlink::testing
