A request that crosses the close of its connection is not taken

How it was found: event=request with result=caller-gone, reason "Bad file descriptor", ms=0: the caller's connection was closed by this host itself. The event loop reads the bytes of a connection, and runs other handlers before it goes on with the request; closeIdle() was one of them and saw no request there.

Ruled out: the end of the process (it came 1.7 s later); the caller (it waited for 8 s).

Change: a connection with unread bytes is not idle; a request whose connection was closed between the read and the next step is not taken.

--- a/fulmarlink/gatewayserver.cpp
+++ b/fulmarlink/gatewayserver.cpp
@@ -95,6 +95,13 @@
     GatewayExchange *exchange = nullptr; ///< the request that is being answered
     bool watching = false;
     bool reading = false; ///< a request has begun to arrive
+
+    /** No byte of a request is here, read or unread. */
+    bool idle()
+    {
+        boost::system::error_code ignored; // a broken connection has nothing unread
+        return exchange == nullptr && !reading && buffer.size() == 0 && stream.socket().available(ignored) == 0;
+    }
 };
 
 GatewayServer::GatewayServer(const asio::any_io_executor &executor, GatewayState &state)
@@ -127,7 +134,7 @@
 void GatewayServer::closeIdle()
 {
     for (Connection *connection : m_connections) {
-        if (connection->exchange == nullptr && !connection->reading && connection->buffer.size() == 0) {
+        if (connection->idle()) {
             connection->stream.close();
         }
     }
@@ -196,7 +203,9 @@
     if (!connection.reading) {
         connection.stream.expires_after(limits.idleTimeout);
         const std::size_t bytes = co_await connection.stream.async_read_some(connection.buffer.prepare(kFirstRead), token);
-        if (error || bytes == 0) {
+        // Closed between the read and this line: nobody would get the answer, so the request is not taken.
+        const bool closed = !connection.stream.socket().is_open();
+        if (error || bytes == 0 || closed) {
             co_return false;
         }
         connection.buffer.commit(bytes);
