--- a/fulmarlink/expertplanner.cpp
+++ b/fulmarlink/expertplanner.cpp
@@ -4,6 +4,9 @@
 #include <functional>
 #include <numeric>
 #include <optional>
+#include <utility>
+
+#include "fulmarlink/mutation.h"
 
 namespace fulmarlink
 {
@@ -15,7 +18,7 @@
 
 double paceOf(std::span<const double> paces, std::size_t rank)
 {
-    return rank < paces.size() ? paces[rank] : 1;
+    return rank < paces.size() && !mutated(Mutation::IgnorePace) ? paces[rank] : 1;
 }
 
 bool contains(const std::vector<ExpertId> &list, ExpertId expert)
@@ -287,7 +290,7 @@
 ExpertPlanner::ExpertPlanner(GroupMap current, std::vector<std::vector<double>> load, ExpertPlanOptions options)
     : m_current(std::move(current))
     , m_load(std::move(load))
-    , m_options(options)
+    , m_options(std::move(options))
     , m_copies(m_current.empty() ? 0 : m_current.front().size(), 0)
 {
     for (std::size_t set = 0; set < m_current.size(); ++set) {
--- a/fulmarlink/gatewayexchange.cpp
+++ b/fulmarlink/gatewayexchange.cpp
@@ -39,19 +39,12 @@
 constexpr Duration kDefaultDeadline = std::chrono::seconds(60); ///< for callers that state none
 constexpr Duration kFreshEnoughToDeny = std::chrono::milliseconds(1500); ///< a route or key that an older configuration does not have may be new
 constexpr Duration kUnprovedRetry = std::chrono::milliseconds(500); ///< mostly one host has lost the store, and another one takes the request at once
-constexpr Duration kRefusedRetry = std::chrono::milliseconds(400);
 constexpr std::chrono::milliseconds kConnectTimeout{300}; ///< far above a cross-zone round trip; a lost opening packet comes again only after a second
-constexpr Duration kLeastTimeToSend = std::chrono::milliseconds(20); ///< with less left no answer can arrive
 constexpr Duration kDrainAdmits = std::chrono::milliseconds(3000); ///< a stream that begins later may not end before the shutdown limit
 constexpr Duration kDrainRetry = std::chrono::milliseconds(50); ///< another entry takes it at once
 constexpr Duration kResumePatience = std::chrono::milliseconds(1900); ///< callers abandon a stream after two seconds without an event
 constexpr Duration kResumePause = std::chrono::milliseconds(100);
 
-std::string msText(Duration value)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
-}
-
 } // namespace
 
 GatewayExchange::GatewayExchange(GatewayState &state, boost::beast::tcp_stream &caller, HttpRequest request, bool keepAlive)
@@ -341,88 +334,4 @@
                 {"events", std::to_string(m_events.events())}});
 }
 
-ResultCode GatewayExchange::unknownCode() const
-{
-    if (m_answerBegun) {
-        return ResultCode::AnswerCutShort;
-    }
-    if (timeLeft() <= kLeastTimeToSend) {
-        return ResultCode::DeadlineAfterDispatch;
-    }
-    return m_reason == "invalid" || m_reason.starts_with("foreign") ? ResultCode::AnswerInvalid : ResultCode::EngineBroke;
-}
-
-asio::awaitable<void> GatewayExchange::finish(NextStep step)
-{
-    switch (step) {
-    case NextStep::Deliver:
-    case NextStep::Again:
-        break;
-    case NextStep::RefuseNotRun:
-        m_result = m_sends > 0 ? ResultCode::RunnerBusy : ResultCode::NoRunnerReachable;
-        m_retryAfter = Duration(kRefusedRetry.count() / 2 + static_cast<Duration::rep>(m_state.random() % static_cast<std::uint64_t>(kRefusedRetry.count())));
-        co_await writeOwn(m_result, m_retryAfter);
-        break;
-    case NextStep::PassFailure:
-        m_result = ResultCode::RunnerFailed;
-        co_await writeWhole(m_failure);
-        break;
-    case NextStep::Unknown:
-        m_result = unknownCode();
-        if (m_answerBegun) {
-            m_broken = true;
-        } else {
-            co_await writeOwn(m_result, Duration(0));
-        }
-        break;
-    }
-}
-
-asio::awaitable<void> GatewayExchange::writeOwn(ResultCode code, Duration retryAfter)
-{
-    const ResultInfo &info = resultInfo(code);
-    HttpResponse response(static_cast<http::status>(info.httpStatus), 11);
-    m_state.protocol.writeOwnAnswer(response, m_facts.attemptId, info.retryLater ? std::optional(retryAfter) : std::nullopt);
-    response.set("Fulmarlink-Result", std::to_string(static_cast<int>(code)) + ' ' + std::string(info.name));
-    response.set(http::field::content_type, "text/plain");
-    response.body() = std::string(info.meaning) + '\n';
-    co_await writeWhole(response);
-}
-
-asio::awaitable<void> GatewayExchange::writeWhole(HttpResponse &response)
-{
-    response.keep_alive(!closing());
-    response.prepare_payload();
-    m_answerBegun = true;
-    m_status = response.result_int();
-    boost::system::error_code error;
-    m_caller.expires_after(kWriteTimeout);
-    co_await http::async_write(m_caller, response, asio::redirect_error(asio::use_awaitable, error));
-    m_broken = m_broken || error;
-}
-
-void GatewayExchange::log() const
-{
-    const TimePoint now = m_state.clock.now();
-    const ResultInfo &info = resultInfo(m_gone ? ResultCode::CallerGone : m_result);
-    logRequest("request",
-               {{"id", m_facts.attemptId},
-                {"route", m_route.name},
-                {"pool", m_pool},
-                {"customer", m_customer},
-                {"config", std::to_string(m_state.config.version())},
-                {"proof_ms", msText(m_state.config.age(now))},
-                {"targets", m_targets},
-                {"sends", std::to_string(m_sends)},
-                {"ran", std::to_string(m_ran)},
-                {"result", info.name},
-                {"status", std::to_string(m_status)},
-                {"reason", m_reason},
-                {"retry_ms", msText(m_retryAfter)},
-                {"first_ms", m_firstEvent == TimePoint{} ? "-" : msText(m_firstEvent - m_arrived)},
-                {"pause_ms", msText(m_longestPause)},
-                {"left_ms", msText(timeLeft())},
-                {"ms", msText(now - m_arrived)}});
-}
-
 } // namespace fulmarlink
--- a/fulmarlink/gatewayexchange.h
+++ b/fulmarlink/gatewayexchange.h
@@ -31,6 +31,7 @@
 class GatewayExchange
 {
 public:
+    static constexpr Duration kLeastTimeToSend = std::chrono::milliseconds(20); ///< with less left no answer can arrive
     static constexpr std::chrono::milliseconds kWriteTimeout{4000}; ///< to a caller that does not read
 
     GatewayExchange(GatewayState &state, boost::beast::tcp_stream &caller, HttpRequest request, bool keepAlive);
--- a/fulmarlink/leasekeeper.cpp
+++ b/fulmarlink/leasekeeper.cpp
@@ -40,7 +40,7 @@
     LeaseRecord record = m_seen;
     record.holder = m_options.self;
     ++record.renewals;
-    if (m_holding && m_slowTargets) {
+    if (m_holding && m_slowTargets && !mutated(Mutation::LoseSlowRanks)) {
         record.slowTargets = *m_slowTargets;
     }
     return record;
--- a/fulmarlink/log.cpp
+++ b/fulmarlink/log.cpp
@@ -1,6 +1,7 @@
 #include "fulmarlink/log.h"
 
 #include <chrono>
+#include <cmath>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
@@ -8,6 +9,7 @@
 #include <log4cxx/patternlayout.h>
 #include <mutex>
 #include <poll.h>
+#include <sstream>
 #include <unistd.h>
 
 namespace fulmarlink
@@ -196,4 +198,16 @@
     write(log4cxx::Level::getWarn(), event, fields);
 }
 
+std::string msText(Duration value)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
+std::string twoDecimals(double value)
+{
+    std::ostringstream text;
+    text << std::round(value * 100) / 100;
+    return text.str();
+}
+
 } // namespace fulmarlink
--- a/fulmarlink/log.h
+++ b/fulmarlink/log.h
@@ -5,6 +5,8 @@
 #include <string_view>
 #include <utility>
 
+#include "fulmarlink/clock.h"
+
 namespace fulmarlink
 {
 
@@ -50,4 +52,10 @@
 /** As logChange(), for a change that an operator should look at. */
 void logWarning(std::string_view event, std::initializer_list<LogField> fields);
 
+/** @p value in whole milliseconds for a log line. */
+std::string msText(Duration value);
+
+/** @p value for a log line, with two decimals at the most. */
+std::string twoDecimals(double value);
+
 } // namespace fulmarlink
--- a/fulmarlink/mutation.h
+++ b/fulmarlink/mutation.h
@@ -41,6 +41,11 @@
     UnboundedRepeats, ///< the retry window grants everything
     GiveHalfEvents, ///< bytes of an unfinished event reach the caller
     KeepTerm, ///< a lease that lapsed goes on with its old term
+    SendToSlow, ///< a rank that is known to be slow gets work like the others
+    AdmitDoomed, ///< a stream is taken that can't end before its deadline
+    IgnorePace, ///< the planner counts all ranks as equally fast
+    LoseSlowRanks, ///< an owner forgets what it knows of slow ranks in its next record
+    BlindToSilence, ///< a slow pass is only noticed when it has ended
     TrustForeignAnswer, ///< an answer that belongs to another request is taken
 };
 
--- a/fulmarlink/pacewatch.cpp
+++ b/fulmarlink/pacewatch.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "fulmarlink/mutation.h"
+
 namespace fulmarlink
 {
 
@@ -42,7 +44,7 @@
         return false;
     }
     const bool slower = seconds(*view.meanPause) > seconds(*m_calm) * kSlowdown;
-    const bool silent = seconds(now - view.lastEvent) > seconds(*m_calm) * kSilence;
+    const bool silent = !mutated(Mutation::BlindToSilence) && seconds(now - view.lastEvent) > seconds(*m_calm) * kSilence;
     const bool late = *view.meanPause > view.gapTarget && rested > kLateRest;
     return slower || silent || late || rested > kLongestRest;
 }
--- a/fulmarlink/poolgate.cpp
+++ b/fulmarlink/poolgate.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "fulmarlink/mutation.h"
+
 namespace fulmarlink
 {
 
@@ -89,6 +91,9 @@
 bool PoolGate::tooSlow(const PoolLoad &load, TimePoint now) const
 {
     const auto pause = recentPause(now);
+    if (mutated(Mutation::AdmitDoomed)) {
+        return false;
+    }
     return load.events > 0 && pause && std::chrono::duration<double>(*pause) * load.events > std::chrono::duration<double>(load.timeLeft);
 }
 
--- a/fulmarlink/targettable.cpp
+++ b/fulmarlink/targettable.cpp
@@ -80,7 +80,7 @@
         if (state.info.pool != pool || !usable(state, now) || tried.contains(id)) {
             continue;
         }
-        const bool ejected = state.ejectedUntil > now || state.slow;
+        const bool ejected = state.ejectedUntil > now || (state.slow && !mutated(Mutation::SendToSlow));
         const double value = score(state, now);
         if (best != nullptr && (ejected != bestEjected ? ejected : value > bestScore)) {
             continue;
--- a/testing/gatewaymutation_test.cpp
+++ b/testing/gatewaymutation_test.cpp
@@ -6,9 +6,12 @@
 #include "fulmarlink/attemptpolicy.h"
 #include "fulmarlink/configstate.h"
 #include "fulmarlink/eventsplitter.h"
+#include "fulmarlink/expertplanner.h"
 #include "fulmarlink/gatewaystate.h"
 #include "fulmarlink/hostclock.h"
 #include "fulmarlink/leasekeeper.h"
+#include "fulmarlink/pacewatch.h"
+#include "fulmarlink/poolgate.h"
 #include "fulmarlink/targettable.h"
 #include "fulmarlink/windowbudget.h"
 #include "platform/platformprotocol.h"
@@ -107,6 +110,63 @@
     return keeper.termId() == 2;
 }
 
+bool slowRanksRest()
+{
+    TargetTable targets({});
+    TargetInfo slow;
+    slow.id = "a";
+    slow.pool = "p";
+    TargetInfo other = slow;
+    other.id = "b";
+    targets.setTargets({slow, other}, at(0));
+    targets.setSlow("p", {"a"});
+    targets.sent("b");
+    Random random(1);
+    return targets.pick("p", {}, at(0), random)->id == "b";
+}
+
+bool doomedStreamsAreRefused()
+{
+    PoolGate gate;
+    for (unsigned i = 0; i < PoolGate::kLeastPauses; ++i) {
+        gate.pauseSeen(std::chrono::milliseconds(1000), std::chrono::milliseconds(150), at(0));
+    }
+    Random random(1);
+    const PoolLoad load{.runners = 2, .leastLoad = 0.1, .leastLoadKnown = true, .events = 20, .timeLeft = std::chrono::milliseconds(8000)};
+    return !gate.decide(load, at(10), random).admitted;
+}
+
+bool slowRanksAreEmptied()
+{
+    ExpertPlanOptions options;
+    options.placements = 3;
+    options.newPerSwitch = 2;
+    options.paces = {8, 1, 1};
+    const GroupMap map{{{0, 1}, {2, 3}, {4, 5}}};
+    return planExperts(map, {std::vector<double>(6, 1)}, options).map.front().front().size() < 2;
+}
+
+bool slowRanksAreMadeKnown()
+{
+    LeaseKeeper keeper(LeaseOptions{.self = "a"});
+    keeper.readDone({}, at(0));
+    LeaseRecord record = keeper.toWrite();
+    record.revision = 1;
+    keeper.writeDone({{}, record}, at(0), at(1));
+    keeper.setSlowTargets({"rank-1"});
+    return keeper.toWrite().slowTargets.size() == 1;
+}
+
+bool slowPassesAreNoticedEarly()
+{
+    PaceWatch watch;
+    const auto pause = std::chrono::milliseconds(60);
+    const auto target = std::chrono::milliseconds(150);
+    watch.restart(at(0));
+    watch.turned({pause, at(1000), target}, at(1010));
+    return watch.turned({pause, at(1000), target}, at(1100));
+}
+
 struct Promise {
     const char *name;
     Mutation mutation;
@@ -140,6 +200,11 @@
                                            Promise{"PickLeaving", Mutation::PickLeaving, leavingRunnersRest},
                                            Promise{"UnboundedRepeats", Mutation::UnboundedRepeats, repeatsAreBounded},
                                            Promise{"GiveHalfEvents", Mutation::GiveHalfEvents, eventsAreWhole},
+                                           Promise{"SendToSlow", Mutation::SendToSlow, slowRanksRest},
+                                           Promise{"AdmitDoomed", Mutation::AdmitDoomed, doomedStreamsAreRefused},
+                                           Promise{"IgnorePace", Mutation::IgnorePace, slowRanksAreEmptied},
+                                           Promise{"LoseSlowRanks", Mutation::LoseSlowRanks, slowRanksAreMadeKnown},
+                                           Promise{"BlindToSilence", Mutation::BlindToSilence, slowPassesAreNoticedEarly},
                                            Promise{"KeepTerm", Mutation::KeepTerm, aLapsedTermEnds}),
                          [](const ::testing::TestParamInfo<Promise> &info) {
                              return info.param.name;
