A request that comes while the last answers are written out is answered

How it was found: event=draining, then event=stopped cut="false" 0.3 s after the drain's shortest time; the request's own line is missing since it never ended. ProcessRunner looked whether the process had drained, waited 0.3 s for the last answers, and ended without looking again.

Ruled out: closeIdle() (the connection was in use); the shutdown limit (8 s).

Change: it looks again after that time and goes on draining if a request has come. Test first: ProcessRunner over a process that gets a request in these 0.3 s ended without its answer.

--- a/app/processrunner.h
+++ b/app/processrunner.h
@@ -84,6 +84,10 @@
     {
         m_timer.expires_after(kWriteOut);
         m_timer.async_wait([this](const boost::system::error_code & /*error*/) {
+            if (!m_cut && !m_process.drained()) {
+                checkDrain(); // a request has come meanwhile
+                return;
+            }
             logChange("stopped", {{"cut", m_cut ? "true" : "false"}});
             m_process.stop();
             m_context.stop();
