--- a/testing/gateway_test.cpp
+++ b/testing/gateway_test.cpp
@@ -21,6 +21,7 @@
 #include "platform/platformclient.h"
 #include "platform/platformprotocol.h"
 #include "standins/platformfleet.h"
+#include "testing/harness/freeport.h"
 #include "testing/harness/mutation_on.h"
 
 namespace fulmarlink::testing
@@ -58,13 +59,6 @@
     }
 };
 
-std::uint16_t freePort()
-{
-    asio::io_context context;
-    asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
-    return acceptor.local_endpoint().port();
-}
-
 class GatewayTest : public ::testing::Test
 {
 public:
--- a/testing/gatewayserver_test.cpp
+++ b/testing/gatewayserver_test.cpp
@@ -12,6 +12,7 @@
 #include "fulmarlink/hostclock.h"
 #include "fulmarlink/log.h"
 #include "platform/platformprotocol.h"
+#include "testing/harness/freeport.h"
 
 namespace fulmarlink::testing
 {
@@ -23,13 +24,6 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-std::uint16_t freePort()
-{
-    asio::io_context context;
-    tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
-    return acceptor.local_endpoint().port();
-}
-
 class GatewayServerTest : public ::testing::Test
 {
 public:
