--- /dev/null
+++ b/fulmarlink/admission.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <optional>
+#include <set>
+#include <string>
+
+#include "fulmarlink/clock.h"
+#include "fulmarlink/poolgate.h"
+#include "fulmarlink/targettable.h"
+
+namespace fulmarlink
+{
+
+struct GatewayState;
+
+/** What a request needs of the group that takes it. */
+struct RequestNeed {
+    double events = 0; ///< as in PoolLoad
+    Duration timeLeft{0}; ///< as in PoolLoad
+    bool admitted = false; ///< its pool took it before: only a stalled group is closed to it
+};
+
+/** Where a request goes, or why nowhere. */
+struct Admission {
+    std::optional<TargetInfo> target;
+    std::string group; ///< of the target, or of the group that has to say when to come back
+    GateDecision decision;
+    double load = 0; ///< of that group's best runner
+    double ceiling = 0; ///< of that group's gate
+    unsigned runners = 0; ///< of that group
+};
+
+/**
+ * Chooses the group of a pool, then the rank. Groups are asked in this order: those that
+ * move before those that stand still, those with sound ranks before others, then by the
+ * load of their best rank. So a group that has lost a rank costs only the requests that it
+ * holds: its gate refuses after a few, and new ones go to the other groups.
+ *
+ * If all refuse, the answer is the refusal that lets the caller come back soonest.
+ */
+Admission admitToPool(GatewayState &state, const std::string &pool, const RequestNeed &need, const std::set<std::string> &tried);
+
+} // namespace fulmarlink
--- a/fulmarlink/gateway.cpp
+++ b/fulmarlink/gateway.cpp
@@ -6,9 +6,9 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "fulmarlink/callerprotocol.h"
+#include "fulmarlink/groupwatch.h"
 #include "fulmarlink/httpserver.h"
 #include "fulmarlink/log.h"
-#include "fulmarlink/mapkeeper.h"
 #include "fulmarlink/platform.h"
 #include "fulmarlink/resultcode.h"
 
@@ -178,7 +178,7 @@
                            {"read_ms", std::to_string((m_clock.now() - read.began).count() / 1000)}});
             }
             if (m_state.config.active()) {
-                keepMaps();
+                watchGroups();
             }
             if (offered >= m_state.config.version()) {
                 m_state.config.confirm(read.began);
@@ -191,15 +191,15 @@
     }
 }
 
-void Gateway::keepMaps()
+void Gateway::watchGroups()
 {
     for (const ServiceSpec &service : m_state.config.active()->configuration.services) {
-        if (!service.engine || service.engine->layerSets == 0 || m_mapKeepers.contains(service.name)) {
+        if (!service.engine || service.engine->layerSets == 0 || m_groupWatches.contains(service.name)) {
             continue;
         }
-        const auto keeper = std::make_shared<MapKeeper>(m_context, m_state, *m_edges.platform, service.name);
-        m_mapKeepers.emplace(service.name, keeper);
-        asio::co_spawn(m_context, keeper->run(), asio::detached);
+        const auto watch = std::make_shared<GroupWatch>(m_context, m_state, *m_edges.platform, service.name);
+        m_groupWatches.emplace(service.name, watch);
+        asio::co_spawn(m_context, watch->run(), asio::detached);
     }
 }
 
@@ -210,12 +210,18 @@
     }
     const TargetChanges changes = m_state.targets.setTargets(m_listed, m_clock.now());
     m_targetsKnown = true;
-    if (changes.added.empty() && changes.leaving.empty() && changes.gone.empty()) {
+    for (const std::string &id : changes.restarted) {
+        m_connections.drop(id);
+    }
+    if (changes.added.empty() && changes.leaving.empty() && changes.gone.empty() && changes.restarted.empty()) {
         return;
     }
-    logChange(
-        "targets-changed",
-        {{"added", joined(changes.added)}, {"leaving", joined(changes.leaving)}, {"gone", joined(changes.gone)}, {"listed", std::to_string(m_listed.size())}});
+    logChange("targets-changed",
+              {{"added", joined(changes.added)},
+               {"restarted", joined(changes.restarted)},
+               {"leaving", joined(changes.leaving)},
+               {"gone", joined(changes.gone)},
+               {"listed", std::to_string(m_listed.size())}});
 }
 
 asio::awaitable<void> Gateway::targetsLoop()
--- a/fulmarlink/gateway.h
+++ b/fulmarlink/gateway.h
@@ -18,7 +18,7 @@
 
 class CallerProtocol;
 class HttpServer;
-class MapKeeper;
+class GroupWatch;
 class Platform;
 
 /** The edges of a gateway that differ from platform to platform. */
@@ -59,8 +59,8 @@
     boost::asio::awaitable<void> entriesLoop();
     boost::asio::awaitable<void> housekeeping();
     boost::asio::awaitable<void> sleep(Duration duration);
-    /** Begins to keep the maps of pools that are new in the configuration and have experts. */
-    void keepMaps();
+    /** Begins to watch the groups of pools that are new in the configuration and have experts. */
+    void watchGroups();
     void noteStore(bool reachable, const std::string &call, const std::string &error);
     void noteTargets(const struct TargetsRead &read);
     Duration jittered(Duration duration);
@@ -75,7 +75,7 @@
     GatewayServer m_server;
     std::shared_ptr<HttpServer> m_readiness;
     std::shared_ptr<HttpServer> m_metrics;
-    std::map<std::string, std::shared_ptr<MapKeeper>> m_mapKeepers; ///< by pool
+    std::map<std::string, std::shared_ptr<GroupWatch>> m_groupWatches; ///< by pool
     Counters::Id m_configVersion;
     Counters::Id m_proofAge;
     Counters::Id m_requestsNow;
--- a/fulmarlink/gatewayexchange.cpp
+++ b/fulmarlink/gatewayexchange.cpp
@@ -22,6 +22,7 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
+#include <utility>
 
 #include "fulmarlink/log.h"
 #include "fulmarlink/mutation.h"
@@ -156,19 +157,13 @@
     m_pool = choosePool();
     PoolState &pool = m_state.pool(m_pool);
     pool.budget.countRequest(m_arrived);
-    PoolLoad load;
-    load.runners = m_state.targets.available(m_pool, m_arrived);
-    if (const TargetInfo *best = m_state.targets.pick(m_pool, {}, m_arrived, m_state.random)) {
-        load.leastLoad = m_state.targets.load(best->id, m_arrived);
-        load.leastLoadKnown = true;
-    }
-    load.events = usualEvents();
-    load.timeLeft = m_deadline - m_arrived;
-    const GateDecision decision = pool.gate.decide(load, m_arrived, m_state.random);
-    if (!decision.admitted) {
-        m_reason = "load " + std::to_string(load.leastLoad).substr(0, 4) + " ceiling " + std::to_string(pool.gate.ceiling()).substr(0, 4) + " runners "
-                   + std::to_string(load.runners);
-        return refuse(decision.refusal, decision.retryAfter);
+    const RequestNeed need{.events = usualEvents(), .timeLeft = m_deadline - m_arrived};
+    const Admission admission = admitToPool(m_state, m_pool, need, {});
+    m_group = admission.group;
+    m_admitted = admission.target;
+    if (!admission.target) {
+        m_reason = "load " + twoDecimals(admission.load) + " ceiling " + twoDecimals(admission.ceiling) + " runners " + std::to_string(admission.runners);
+        return refuse(admission.decision.refusal, admission.decision.retryAfter);
     }
     return true;
 }
@@ -237,46 +232,64 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+PoolGate &GatewayExchange::gate()
+{
+    return m_state.pool(m_pool).gate(m_group);
+}
+
+/** The runner for the next attempt; nothing where every group of the pool is closed. */
+std::optional<TargetInfo> GatewayExchange::nextTarget()
+{
+    if (m_admitted) {
+        return std::exchange(m_admitted, std::nullopt);
+    }
+    const Admission admission = admitToPool(m_state, m_pool, {.timeLeft = timeLeft(), .admitted = true}, m_tried);
+    if (admission.target) {
+        m_group = admission.group;
+    }
+    return admission.target;
+}
+
+/** For a stream that has begun: its caller waits a while for a group to open again. */
+asio::awaitable<std::optional<TargetInfo>> GatewayExchange::targetToResume()
+{
+    std::optional<TargetInfo> target = nextTarget();
+    while (!target && !m_gone && m_state.clock.now() - m_lastEvent <= kResumePatience) {
+        m_tried.clear(); // a runner that broke off may be back
+        co_await pauseBeforeRetry(kResumePause);
+        target = nextTarget();
+    }
+    co_return target;
+}
+
 asio::awaitable<void> GatewayExchange::serve()
 {
     PoolState &pool = m_state.pool(m_pool);
     AttemptEnd end = AttemptEnd::NotSent;
     NextStep step = NextStep::Again;
     while (step == NextStep::Again) {
-        const TargetInfo *picked = m_state.targets.pick(m_pool, m_tried, m_state.clock.now(), m_state.random);
-        if (picked == nullptr && m_answerBegun && !m_tried.empty()) {
-            m_tried.clear(); // a runner that broke off may be back
-            picked = m_state.targets.pick(m_pool, m_tried, m_state.clock.now(), m_state.random);
+        std::optional<TargetInfo> target;
+        if (m_answerBegun) {
+            target = co_await targetToResume();
+        } else {
+            target = nextTarget();
+        }
+        if (m_gone) {
+            co_return;
         }
         const bool repeat = m_sends > 0;
-        if (picked == nullptr || !mayRetry() || (repeat && !pool.budget.takeRepeat(m_state.clock.now()))) {
-            m_reason += picked == nullptr ? " no-runner" : repeat ? " budget" : "";
+        if (!target || !mayRetry() || (repeat && !pool.budget.takeRepeat(m_state.clock.now()))) {
+            m_reason += !target ? " no-runner" : repeat ? " budget" : "";
             step = giveUp(attemptState(end));
             break;
         }
-        const TargetInfo target = *picked; // the list may change while the attempt lasts
-        end = co_await attempt(target);
+        end = co_await attempt(*target);
         if (m_gone) {
             co_return;
         }
         step = nextStep(attemptState(end));
-        const bool stalled = pool.gate.stalled();
-        if (step == NextStep::Again && stalled && !m_answerBegun && m_ran == 0) {
-            step = NextStep::RefuseNotRun;
-        }
-        while (step == NextStep::Again && stalled && m_answerBegun && !m_gone) {
-            co_await pauseBeforeRetry(kResumePause);
-            const TimePoint now = m_state.clock.now();
-            if (now - m_lastEvent > kResumePatience) {
-                step = NextStep::Unknown;
-            } else if (pool.gate.decide({1, 0, true}, now, m_state.random).admitted) {
-                break;
-            }
-        }
-    }
-    if (!m_gone) {
-        co_await finish(step);
     }
+    co_await finish(step);
 }
 
 asio::awaitable<AttemptEnd> GatewayExchange::attempt(const TargetInfo &target)
@@ -284,6 +297,9 @@
     const TimePoint began = m_state.clock.now();
     m_target = target.id;
     m_tried.insert(target.id);
+    if (m_state.targets.ownRequests(m_pool, m_group) == 0) {
+        gate().workBegan(began);
+    }
     m_state.targets.sent(target.id);
     AttemptEnd end = AttemptEnd::NotSent;
     const auto connection = co_await m_state.connections->acquire(target, std::min(kConnectTimeout, timerMs(timeLeft())));
--- a/fulmarlink/gatewayexchange.h
+++ b/fulmarlink/gatewayexchange.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 
+#include "fulmarlink/admission.h"
 #include "fulmarlink/attemptpolicy.h"
 #include "fulmarlink/callerprotocol.h"
 #include "fulmarlink/configstate.h"
@@ -53,6 +54,9 @@
     bool refuse(ResultCode code, Duration retryAfter = Duration(0));
     const std::string &choosePool();
     boost::asio::awaitable<void> serve();
+    std::optional<TargetInfo> nextTarget();
+    boost::asio::awaitable<std::optional<TargetInfo>> targetToResume();
+    PoolGate &gate();
     boost::asio::awaitable<AttemptEnd> attempt(const TargetInfo &target);
     boost::asio::awaitable<bool> write(TargetConnection &connection, const TargetInfo &target);
     boost::asio::awaitable<AttemptEnd> readAnswer(TargetConnection &connection, const TargetInfo &target);
@@ -87,6 +91,8 @@
     Route m_route;
     std::shared_ptr<const ActiveConfiguration> m_active;
     std::string m_pool;
+    std::string m_group; ///< of ranks, to which the last attempt went
+    std::optional<TargetInfo> m_admitted; ///< for the first attempt
     std::string m_customer;
     TimePoint m_deadline{};
     ResultCode m_result = ResultCode::Ok;
--- a/fulmarlink/gatewayrelay.cpp
+++ b/fulmarlink/gatewayrelay.cpp
@@ -78,7 +78,7 @@
         return std::min(left, std::max(m_route.objective * 2, kSilentPlain));
     }
     const TimePoint now = m_state.clock.now();
-    const bool lively = now - m_state.pools.at(m_pool).gate.lastAnswer() < kLively;
+    const bool lively = now - m_state.pool(m_pool).gate(m_group).lastAnswer() < kLively;
     const bool alive = now - m_state.targets.lastHeard(m_target) < kSilentStream; // it answers others: this request waits its turn
     return lively && !alive ? std::min(left, std::max(m_route.objective * 2, kSilentStream)) : left;
 }
@@ -145,9 +145,8 @@
         if (answer.load) {
             m_state.targets.loadReported(target.id, *answer.load, now);
         }
-        PoolGate &gate = m_state.pool(m_pool).gate;
         if (answer.notRun) {
-            gate.refusalSeen(now);
+            gate().refusalSeen(now);
             m_reason = "refused " + std::to_string(head.result_int()) + (answer.faultyTarget.empty() ? "" : " by " + answer.faultyTarget);
             std::string dropped;
             const boost::system::error_code dropError = co_await readBody(connection, *parser, dropped);
@@ -161,7 +160,7 @@
             m_state.targets.failed(target.id, now);
             co_return AttemptEnd::Broken;
         }
-        gate.answerSeen(now);
+        gate().answerSeen(now);
         m_state.targets.heard(target.id, now);
         const bool stream = m_route.streaming && head.result_int() == 200 && isEventStream(head);
         AttemptEnd end = AttemptEnd::Broken;
@@ -284,7 +283,7 @@
 
 void GatewayExchange::noteEvents(TimePoint now)
 {
-    PoolGate &gate = m_state.pool(m_pool).gate;
+    PoolGate &gate = this->gate();
     gate.answerSeen(now);
     m_state.targets.heard(m_target, now);
     const bool first = m_firstEvent == TimePoint{};
--- a/fulmarlink/gatewaystate.cpp
+++ b/fulmarlink/gatewaystate.cpp
@@ -1,5 +1,6 @@
 #include "fulmarlink/gatewaystate.h"
 
+#include <algorithm>
 #include <random>
 
 #include "fulmarlink/mutation.h"
@@ -17,6 +18,9 @@
  * that is lost takes 0.95 s. */
 constexpr Duration kReadyProof = std::chrono::milliseconds(2100);
 
+constexpr Duration kStandstill = std::chrono::milliseconds(500); ///< longer than any pass, shorter than callers' patience
+constexpr int kStandstillPasses = 2; ///< a group with a slow rank makes passes of over a second and still moves
+
 TargetTableOptions tableOptions(const GatewaySettings &settings)
 {
     TargetTableOptions options;
@@ -54,6 +58,22 @@
     return pools.try_emplace(name, budgetOptions()).first->second;
 }
 
+PoolGate &PoolState::gate(const std::string &group)
+{
+    return gates[group];
+}
+
+bool GatewayState::standsStill(const std::string &poolName, const std::string &group, TimePoint now)
+{
+    const PoolGate &gate = pool(poolName).gate(group);
+    const TimePoint sign = gate.lastSign();
+    if (sign == TimePoint{} || targets.ownRequests(poolName, group) == 0) {
+        return false;
+    }
+    const Duration usual = gate.recentPause(now).value_or(Duration(0)) * kStandstillPasses;
+    return now - sign > std::max(kStandstill, usual);
+}
+
 Duration GatewayState::keyProofLimit() const
 {
     return settings.revokeBound - kRevokeMargin;
--- a/fulmarlink/gatewaystate.h
+++ b/fulmarlink/gatewaystate.h
@@ -28,8 +28,11 @@
     {
     }
 
+    /** Of a rank group, whose ranks stall and slow down together, or of the runners in no group: an empty name. */
+    PoolGate &gate(const std::string &group);
+
     WindowBudget budget;
-    PoolGate gate;
+    std::map<std::string, PoolGate> gates; ///< by group name
 };
 
 /** What all requests of one entry's process share. Used by one thread. */
@@ -40,6 +43,8 @@
     GatewayState(GatewaySettings theSettings, const Clock &theClock, Counters &theCounters, const CallerProtocol &theProtocol);
 
     PoolState &pool(const std::string &name);
+    /** Requests are open at the group's runners, and none of them has moved for long. */
+    bool standsStill(const std::string &poolName, const std::string &group, TimePoint now);
     WindowBudgetOptions budgetOptions() const;
     /** A keyed request may only run while the configuration's proof is younger than this. */
     Duration keyProofLimit() const;
@@ -63,6 +68,7 @@
     unsigned entries = kEntriesUnknown; ///< entries that share budgets, this one included
     std::optional<TimePoint> drainBegan; ///< set: the process is leaving
     unsigned exchanges = 0; ///< requests that are not answered yet
+    unsigned groupsOwned = 0; ///< rank groups whose maps this host keeps
 };
 
 } // namespace fulmarlink
--- a/fulmarlink/grouplease.cpp
+++ b/fulmarlink/grouplease.cpp
@@ -20,11 +20,11 @@
 
 } // namespace
 
-GroupLease::GroupLease(asio::io_context &context, const GatewayState &state, Platform &platform, const std::string &pool, LeaseOptions options)
+GroupLease::GroupLease(asio::io_context &context, const GatewayState &state, Platform &platform, const std::string &name, LeaseOptions options)
     : m_context(context)
     , m_state(state)
     , m_platform(platform)
-    , m_pool(pool)
+    , m_name(name)
     , m_keeper(std::move(options))
 {
 }
@@ -41,11 +41,11 @@
     const LeaseKeeper::Step next = m_keeper.step(m_state.clock.now());
     m_calling = next != LeaseKeeper::Step::Wait;
     if (next == LeaseKeeper::Step::Read || next == LeaseKeeper::Step::Look) {
-        const LeaseRead read = co_await m_platform.readLease(m_pool, next == LeaseKeeper::Step::Look);
+        const LeaseRead read = co_await m_platform.readLease(m_name, next == LeaseKeeper::Step::Look);
         m_keeper.readDone(read, m_state.clock.now());
     } else if (next == LeaseKeeper::Step::Write) {
         const TimePoint began = m_state.clock.now();
-        const LeaseRead written = co_await m_platform.writeLease(m_pool, m_keeper.toWrite());
+        const LeaseRead written = co_await m_platform.writeLease(m_name, m_keeper.toWrite());
         m_keeper.writeDone(written, began, m_state.clock.now());
     }
     m_calling = false;
@@ -53,7 +53,7 @@
 
 asio::awaitable<void> GroupLease::run()
 {
-    while (!m_state.drainBegan) {
+    while (!m_state.drainBegan && !m_stopped) {
         if (!m_leaving) {
             co_await step();
         }
@@ -61,6 +61,14 @@
     }
 }
 
+asio::awaitable<void> GroupLease::stop(Duration pause)
+{
+    m_stopped = true;
+    if (holds()) {
+        co_await leave(pause);
+    }
+}
+
 asio::awaitable<void> GroupLease::leave(Duration pause)
 {
     m_leaving = true;
@@ -69,7 +77,7 @@
     }
     const LeaseRecord released = m_keeper.released();
     m_keeper.yield(m_state.clock.now() + pause);
-    co_await m_platform.writeLease(m_pool, released);
+    co_await m_platform.writeLease(m_name, released);
     m_leaving = false;
 }
 
--- a/fulmarlink/grouplease.h
+++ b/fulmarlink/grouplease.h
@@ -12,20 +12,22 @@
 struct GatewayState;
 
 /**
- * Keeps one host's side of the lease of a pool's group in the platform's store.
+ * Keeps one host's side of the lease of a rank group in the platform's store.
  *
  * It runs beside the work that the lease allows: a renewal that the store leaves
  * unanswered takes 0.7 s, and the holder goes on until its term ends.
  *
- * How to use: run() once; it ends soon after the process begins to drain. Not thread-safe.
+ * How to use: run() once; it ends soon after stop(), or when the process begins to drain. Not thread-safe.
  */
 class GroupLease
 {
 public:
-    /** @p state, @p platform and the group's name outlive it. */
-    GroupLease(boost::asio::io_context &context, const GatewayState &state, Platform &platform, const std::string &pool, LeaseOptions options);
+    /** @p state, @p platform and @p name, the lease's, outlive it. */
+    GroupLease(boost::asio::io_context &context, const GatewayState &state, Platform &platform, const std::string &name, LeaseOptions options);
 
     boost::asio::awaitable<void> run();
+    /** Gives back a lease that is held, and ends run(). */
+    boost::asio::awaitable<void> stop(Duration pause);
     /** Gives the lease back and does not take it again for @p pause. */
     boost::asio::awaitable<void> leave(Duration pause);
     /** How long this host lets others come first; see LeaseOptions. */
@@ -45,10 +47,11 @@
     boost::asio::io_context &m_context;
     const GatewayState &m_state;
     Platform &m_platform;
-    const std::string &m_pool;
+    const std::string &m_name;
     LeaseKeeper m_keeper;
     bool m_calling = false; ///< a call to the store is unanswered
     bool m_leaving = false; ///< no step begins
+    bool m_stopped = false;
 };
 
 } // namespace fulmarlink
--- a/fulmarlink/mapkeeper.cpp
+++ b/fulmarlink/mapkeeper.cpp
@@ -31,6 +31,9 @@
 constexpr Duration kSlowLook = std::chrono::milliseconds(1000); ///< at ranks that were slow; an engine's trouble lasts seconds
 constexpr Duration kUnknownLook = std::chrono::milliseconds(200); ///< at a group that forms or starts, as old as its reports are
 constexpr Duration kBlindPatience = std::chrono::milliseconds(1500); ///< longer than hosts with streams need to see a lease that was left
+constexpr Duration kOtherGroupPatience = std::chrono::milliseconds(
+    1300); ///< for each group whose map the host keeps already: twice the time between two looks at a lease, so that a host that keeps none comes first
+constexpr Duration kGroupForgotten = std::chrono::seconds(10); ///< without a member; ranks that are replaced one after the other take less
 constexpr Duration kYield = std::chrono::seconds(4); ///< a partition lasts seconds; by then another entry has the lease
 constexpr Duration kReportMargin = std::chrono::milliseconds(80); ///< beyond the reports' stated lag
 constexpr double kLeastImprovement
@@ -66,12 +69,14 @@
 
 } // namespace
 
-MapKeeper::MapKeeper(asio::io_context &context, GatewayState &state, Platform &platform, std::string pool)
+MapKeeper::MapKeeper(asio::io_context &context, GatewayState &state, Platform &platform, std::string pool, std::string group)
     : m_context(context)
     , m_state(state)
     , m_platform(platform)
     , m_pool(std::move(pool))
-    , m_lease(context, state, platform, m_pool, LeaseOptions{.self = state.settings.host, .patience = takeoverPatience(state.settings.linkMbps)})
+    , m_group(std::move(group))
+    , m_leaseName(m_pool + '.' + m_group)
+    , m_lease(context, state, platform, m_leaseName, LeaseOptions{.self = state.settings.host, .patience = takeoverPatience(state.settings.linkMbps)})
     , m_switchesDone(state.counters.registerCounter("fulmarlink_map_switches_total"))
     , m_switchesGivenUp(state.counters.registerCounter("fulmarlink_map_switches_given_up_total"))
     , m_copies(state.counters.registerCounter("fulmarlink_expert_copies_total"))
@@ -94,36 +99,65 @@
     return service != nullptr && service->engine && service->engine->layerSets > 0 ? service->engine : std::nullopt;
 }
 
+PoolGate &MapKeeper::gate() const
+{
+    return m_state.pool(m_pool).gate(m_group);
+}
+
+bool MapKeeper::ended() const
+{
+    return m_ended;
+}
+
+bool MapKeeper::hasMembers()
+{
+    const bool any = !m_state.targets.listed(m_pool, m_group).empty();
+    m_lastMember = any || m_lastMember == TimePoint{} ? m_state.clock.now() : m_lastMember;
+    return any;
+}
+
+/** How long this host lets others take the group's lease first. */
+Duration MapKeeper::patience() const
+{
+    const bool streams = gate().recentPause(m_state.clock.now()).has_value();
+    const unsigned others = m_state.groupsOwned - (m_wasLeader ? 1 : 0);
+    return takeoverPatience(m_state.settings.linkMbps) + (streams ? Duration(0) : kBlindPatience) + kOtherGroupPatience * static_cast<Duration::rep>(others);
+}
+
 /** What the host does when its lease has begun or ended. */
 asio::awaitable<void> MapKeeper::noteLease()
 {
     const bool leader = m_lease.holds();
-    if (leader != m_wasLeader) {
-        m_wasLeader = leader;
-        m_state.counters.set(m_leader, leader ? 1 : 0);
-        logChange(leader ? "lease-taken" : "lease-lost",
-                  {{"pool", m_pool},
-                   {"term", std::to_string(m_lease.termId())},
-                   {"holder", m_lease.record().holder},
-                   {"renewals", std::to_string(m_lease.record().renewals)}});
-        m_mapKnown = false;
-        m_blindPass = 0;
-        m_switchPass = 0;
-        m_paces.clear();
-        m_load.clear();
-        if (leader) {
-            co_await recover();
-        }
+    if (leader == m_wasLeader) {
+        co_return;
+    }
+    m_wasLeader = leader;
+    leader ? ++m_state.groupsOwned : --m_state.groupsOwned;
+    m_state.counters.set(m_leader, m_state.groupsOwned);
+    logChange(leader ? "lease-taken" : "lease-lost",
+              {{"pool", m_pool},
+               {"group", m_group},
+               {"term", std::to_string(m_lease.termId())},
+               {"holder", m_lease.record().holder},
+               {"renewals", std::to_string(m_lease.record().renewals)}});
+    m_mapKnown = false;
+    m_blindPass = 0;
+    m_switchPass = 0;
+    m_paces.clear();
+    m_load.clear();
+    if (leader) {
+        co_await recover();
     }
 }
 
 asio::awaitable<void> MapKeeper::run()
 {
     asio::co_spawn(m_context, m_lease.run(), asio::detached);
-    while (!m_state.drainBegan) {
+    m_lastMember = m_state.clock.now();
+    while (!m_state.drainBegan && m_state.clock.now() - m_lastMember < kGroupForgotten) {
         co_await sleep(m_lease.holds() ? kRound : kFollowerRound);
         const auto spec = engine();
-        if (!spec || m_state.targets.listed(m_pool).empty()) {
+        if (!spec || !hasMembers()) {
             continue;
         }
         m_engine = *spec;
@@ -133,18 +167,22 @@
                 co_await recover();
             }
         }
-        const bool streams = m_state.pool(m_pool).gate.recentPause(m_state.clock.now()).has_value();
-        m_lease.setPatience(takeoverPatience(m_state.settings.linkMbps) + (streams ? Duration(0) : kBlindPatience));
+        m_lease.setPatience(patience());
         co_await noteLease();
         applySlowTargets();
         if (m_lease.holds() && !standsStill()) {
             co_await leaderRound();
         }
     }
-    if (m_lease.holds()) {
-        co_await m_lease.leave(kYield);
-        logChange("lease-released", {{"pool", m_pool}});
+    const bool held = m_lease.holds();
+    co_await m_lease.stop(kYield);
+    m_state.groupsOwned -= m_wasLeader ? 1 : 0;
+    m_wasLeader = false;
+    m_state.counters.set(m_leader, m_state.groupsOwned);
+    if (held) {
+        logChange("lease-released", {{"pool", m_pool}, {"group", m_group}});
     }
+    m_ended = true;
 }
 
 asio::awaitable<void> MapKeeper::leaderRound()
@@ -212,7 +250,7 @@
 /** Whether passes stay so long after a first switch that the rest of the copies is worth its price. */
 bool MapKeeper::restNeeded(std::optional<Duration> calm, double imbalance)
 {
-    const Duration target = m_state.pool(m_pool).gate.gapTarget();
+    const Duration target = gate().gapTarget();
     if (!calm) {
         return true;
     }
@@ -236,6 +274,7 @@
     ExpertPlan plan = planner.plan();
     logChange("map-planned",
               {{"pool", m_pool},
+               {"group", m_group},
                {"map", std::to_string(m_knownVersion)},
                {"before", twoDecimals(plan.before)},
                {"after", twoDecimals(plan.after)},
@@ -245,7 +284,7 @@
 
 asio::awaitable<void> MapKeeper::leave()
 {
-    logWarning("lease-left", {{"pool", m_pool}, {"term", std::to_string(m_lease.termId())}});
+    logWarning("lease-left", {{"pool", m_pool}, {"group", m_group}, {"term", std::to_string(m_lease.termId())}});
     co_await m_lease.leave(kYield);
 }
 
@@ -264,6 +303,7 @@
     m_state.counters.add(m_recoveries);
     logWarning("switch-taken-over",
                {{"pool", m_pool},
+                {"group", m_group},
                 {"phase", switchPhaseName(m_switch.phase())},
                 {"map", std::to_string(m_switch.version())},
                 {"pass", std::to_string(m_switch.pass())},
@@ -288,6 +328,7 @@
     m_state.counters.add(m_copies, plan.copies);
     logChange("map-switch",
               {{"pool", m_pool},
+               {"group", m_group},
                {"map", std::to_string(version)},
                {"done", done ? "true" : "false"},
                {"phase", switchPhaseName(m_switch.phase())},
--- a/fulmarlink/mapkeeper.h
+++ b/fulmarlink/mapkeeper.h
@@ -18,23 +18,32 @@
 {
 
 /**
- * Keeps the expert map of a pool's group near what is in demand: holds the pool's lease,
- * reads counts, plans, and drives GroupSwitch. One entry of all does it at a time; any
- * entry that sees the group stand still finishes a switch that its owner has left.
+ * Keeps the expert map of one rank group of a pool near what is in demand: holds the
+ * group's lease, reads counts, plans, and drives GroupSwitch. One entry of all does it at a
+ * time; any entry that sees the group stand still finishes a switch that its owner has left.
+ * Groups of a pool have keepers of their own, often on different hosts, and know nothing of
+ * each other.
  *
- * How to use: run() once for each pool with experts; it ends when the process
- * begins to leave.
+ * How to use: run() once for each group; it ends when the process begins to leave, or when
+ * the group has had no member for a while.
  */
 class MapKeeper
 {
 public:
-    MapKeeper(boost::asio::io_context &context, GatewayState &state, Platform &platform, std::string pool);
+    MapKeeper(boost::asio::io_context &context, GatewayState &state, Platform &platform, std::string pool, std::string group);
 
     boost::asio::awaitable<void> run();
+    /** run() has ended. */
+    bool ended() const;
 
 private:
     struct Gather;
 
+    PoolGate &gate() const;
+    bool hasMembers();
+    Duration patience() const;
+    void noteMembers(const std::vector<TargetInfo> &targets, const std::vector<RankReportRead> &reports);
+
     boost::asio::awaitable<void> noteLease();
     boost::asio::awaitable<bool> lookForSlowRanks();
     void applySlowTargets();
@@ -69,6 +78,8 @@
     GatewayState &m_state;
     Platform &m_platform;
     const std::string m_pool;
+    const std::string m_group;
+    const std::string m_leaseName;
     EngineSpec m_engine; ///< as the configuration last had it; a change must not pull it away from under a switch
     GroupLease m_lease;
     GroupSwitch m_switch;
@@ -91,6 +102,8 @@
     TimePoint m_lastOrder{};
     PaceWatch m_pace;
     bool m_wasLeader = false;
+    bool m_ended = false;
+    TimePoint m_lastMember{}; ///< when the group last had a member
     TimePoint m_blindLook{}; ///< when a pass was last asked for, for want of streams here
     std::uint64_t m_blindPass = 0;
     Counters::Id m_switchesDone;
--- a/fulmarlink/mapkeepercalls.cpp
+++ b/fulmarlink/mapkeepercalls.cpp
@@ -10,6 +10,7 @@
 
 #include "fulmarlink/log.h"
 #include "fulmarlink/mapkeeper.h"
+#include "fulmarlink/rankgroups.h"
 
 namespace fulmarlink
 {
@@ -71,9 +72,19 @@
     gather->finishOne();
 }
 
+/** Runners that have moved to another group are no longer this one's. */
+void MapKeeper::noteMembers(const std::vector<TargetInfo> &targets, const std::vector<RankReportRead> &reports)
+{
+    for (unsigned i = 0; i < reports.size(); ++i) {
+        if (!reports[i].error) {
+            m_state.targets.setGroup(targets[i].id, reports[i].report.group);
+        }
+    }
+}
+
 asio::awaitable<bool> MapKeeper::readReports()
 {
-    const std::vector<TargetInfo> targets = m_state.targets.listed(m_pool);
+    const std::vector<TargetInfo> targets = m_state.targets.listed(m_pool, m_group);
     auto gather = std::make_shared<Gather>(m_context, static_cast<unsigned>(targets.size()));
     gather->targets = targets;
     gather->reports.resize(targets.size());
@@ -81,26 +92,25 @@
         asio::co_spawn(m_context, reportOne(i, gather), asio::detached);
     }
     co_await waitFor(gather);
-    std::vector<std::pair<unsigned, unsigned>> order; // rank, index
-    unsigned size = 0;
-    for (unsigned i = 0; i < gather->reports.size(); ++i) {
-        if (gather->reports[i].error) {
-            continue;
-        }
-        order.emplace_back(gather->reports[i].report.rank, i);
-        size = std::max(size, gather->reports[i].report.size);
-    }
-    std::ranges::sort(order);
-    const bool complete = size > 0 && order.size() == size;
-    m_unreached = static_cast<unsigned>(targets.size() - order.size());
-    if (!complete) {
+    noteMembers(targets, gather->reports);
+    const std::vector<RankGroup> groups = formGroups(gather->reports);
+    const RankGroup *group = findGroup(groups, m_group);
+    m_unreached = static_cast<unsigned>(std::ranges::count_if(gather->reports, [](const RankReportRead &read) {
+        return static_cast<bool>(read.error);
+    }));
+    if (group == nullptr || !group->whole()) {
         logChange("reports-incomplete",
-                  {{"pool", m_pool}, {"asked", std::to_string(targets.size())}, {"got", std::to_string(order.size())}, {"ranks", std::to_string(size)}});
+                  {{"pool", m_pool},
+                   {"group", m_group},
+                   {"asked", std::to_string(targets.size())},
+                   {"got", std::to_string(group == nullptr ? 0 : group->members.size())},
+                   {"ranks", std::to_string(group == nullptr ? 0 : group->size)},
+                   {"defect", group == nullptr ? "nobody reports the group" : std::string(groupDefectName(group->defect))}});
         co_return false;
     }
     m_ranks.clear();
     m_reports.clear();
-    for (const auto &[rank, index] : order) {
+    for (const unsigned index : group->members) {
         m_ranks.push_back(gather->targets[index]);
         m_reports.push_back(gather->reports[index].report);
     }
@@ -130,7 +140,11 @@
         const RankPlacementRead &read = gather->placements[rank];
         if (read.error || read.version != version || read.experts.size() != sets) {
             logChange("placements-incomplete",
-                      {{"pool", m_pool}, {"rank", std::to_string(rank)}, {"error", read.error.message()}, {"version", std::to_string(read.version)}});
+                      {{"pool", m_pool},
+                       {"group", m_group},
+                       {"rank", std::to_string(rank)},
+                       {"error", read.error.message()},
+                       {"version", std::to_string(read.version)}});
             co_return false;
         }
         for (std::size_t set = 0; set < sets; ++set) {
@@ -143,6 +157,7 @@
     m_mapKnown = true;
     logChange("map-read",
               {{"pool", m_pool},
+               {"group", m_group},
                {"map", std::to_string(version)},
                {"epoch", std::to_string(m_knownEpoch)},
                {"ranks", std::to_string(m_ranks.size())},
@@ -173,7 +188,7 @@
     for (unsigned i = 0; i < sampled; ++i) {
         const ExpertCountsRead &read = gather->counts[i];
         if (read.error) {
-            logChange("counts-missing", {{"pool", m_pool}, {"target", gather->targets[i].id}, {"error", read.error.message()}});
+            logChange("counts-missing", {{"pool", m_pool}, {"group", m_group}, {"target", gather->targets[i].id}, {"error", read.error.message()}});
             continue;
         }
         if (read.epoch != m_knownEpoch) {
@@ -206,6 +221,7 @@
             accepted = false;
             logChange("order-not-accepted",
                       {{"pool", m_pool},
+                       {"group", m_group},
                        {"rank", std::to_string(rank)},
                        {"phase", switchPhaseName(m_switch.phase())},
                        {"map", std::to_string(m_switch.version())},
@@ -227,7 +243,9 @@
 {
     const ExpertCountsRead read = co_await m_platform.readExpertCounts(m_ranks.front(), m_engine.layerSets);
     if (read.error || read.epoch != m_knownEpoch) {
-        logChange("pass-unknown", {{"pool", m_pool}, {"target", m_ranks.front().id}, {"error", read.error.message()}, {"epoch", std::to_string(read.epoch)}});
+        logChange(
+            "pass-unknown",
+            {{"pool", m_pool}, {"group", m_group}, {"target", m_ranks.front().id}, {"error", read.error.message()}, {"epoch", std::to_string(read.epoch)}});
         co_return false;
     }
     m_pass = read.pass;
@@ -246,7 +264,7 @@
         pass = std::max(pass, report.pass);
     }
     const TimePoint now = m_state.clock.now();
-    const Duration length = std::max(kShortestPass, m_state.pool(m_pool).gate.recentPause(now).value_or(kUsualPass));
+    const Duration length = std::max(kShortestPass, gate().recentPause(now).value_or(kUsualPass));
     const Duration ahead = m_engine.reportLag + (now - m_reportsAt);
     m_switch.holdAt(pass + static_cast<std::uint64_t>(ahead / length) + 1 + refusals);
 }
@@ -290,7 +308,7 @@
             const bool complete = co_await readReports();
             if (!complete) {
                 co_await sleep(kFollowerRound);
-                const auto listed = m_state.targets.listed(m_pool).size();
+                const auto listed = m_state.targets.listed(m_pool, m_group).size();
                 if (listed < m_ranks.size()) {
                     co_return; // a rank has gone, and with it the epoch
                 }
--- a/fulmarlink/mapkeeperpace.cpp
+++ b/fulmarlink/mapkeeperpace.cpp
@@ -20,8 +20,7 @@
 constexpr Duration kPassPoll = std::chrono::milliseconds(8); ///< a tenth of a usual pass
 constexpr Duration kSamePass = std::chrono::milliseconds(15); ///< events of one pass arrive within this: a way between zones and a busy host
 constexpr Duration kLongestPass = std::chrono::milliseconds(2000); ///< of a group that is worth ordering about
-constexpr Duration kStandstill = std::chrono::milliseconds(500); ///< longer than any pass, shorter than callers' patience
-constexpr int kStandstillPasses = 2; ///< a group with a slow rank makes passes of over a second and still moves
+constexpr int kWindowPauses = 2; ///< of the last passes; in that time a pass has ended even if it is a long one
 constexpr double kSlowPace = 1.5; ///< a rank that takes half as long again makes every pass longer than a wrong map's second best plan would
 constexpr Duration kBlindLook = std::chrono::milliseconds(1000); ///< a host without streams asks a rank for its pass so often
 constexpr std::uint64_t kWorkingPasses = 3; ///< in that time: the group has work, so that other hosts see its pace
@@ -31,20 +30,13 @@
 /** Streams are under way here, and none of them has moved for long. */
 bool MapKeeper::standsStill() const
 {
-    const auto it = m_state.pools.find(m_pool);
-    if (it == m_state.pools.end() || m_state.targets.ownRequests(m_pool) == 0) {
-        return false;
-    }
-    const TimePoint now = m_state.clock.now();
-    const PoolGate &gate = it->second.gate;
-    const Duration usual = gate.recentPause(now).value_or(Duration(0)) * kStandstillPasses;
-    return gate.lastAnswer() != TimePoint{} && now - gate.lastAnswer() > std::max(kStandstill, usual);
+    return m_state.standsStill(m_pool, m_group, m_state.clock.now());
 }
 
 bool MapKeeper::paceTurned()
 {
     const TimePoint now = m_state.clock.now();
-    PoolGate &gate = m_state.pool(m_pool).gate;
+    const PoolGate &gate = this->gate();
     return m_pace.turned({gate.recentPause(now), gate.lastAnswer(), gate.gapTarget()}, now);
 }
 
@@ -52,7 +44,7 @@
 asio::awaitable<bool> MapKeeper::blind()
 {
     const TimePoint now = m_state.clock.now();
-    if (m_state.pool(m_pool).gate.recentPause(now) || now - m_blindLook < kBlindLook) {
+    if (gate().recentPause(now) || now - m_blindLook < kBlindLook) {
         co_return false;
     }
     m_blindLook = now;
@@ -86,7 +78,7 @@
     });
     const bool changed = any && paces != m_paces;
     if (changed) {
-        logWarning("slow-ranks", {{"pool", m_pool}, {"ranks", text}, {"of", std::to_string(m_reports.size())}});
+        logWarning("slow-ranks", {{"pool", m_pool}, {"group", m_group}, {"ranks", text}, {"of", std::to_string(m_reports.size())}});
     }
     m_paces = std::move(paces);
     m_lease.setSlowTargets(std::move(slow));
@@ -100,17 +92,17 @@
         return;
     }
     m_slowTargets = m_lease.record().slowTargets;
-    m_state.targets.setSlow(m_pool, m_slowTargets);
-    logChange("slow-targets", {{"pool", m_pool}, {"count", std::to_string(m_slowTargets.size())}, {"holder", m_lease.record().holder}});
+    m_state.targets.setSlow(m_pool, m_group, m_slowTargets);
+    logChange("slow-targets", {{"pool", m_pool}, {"group", m_group}, {"count", std::to_string(m_slowTargets.size())}, {"holder", m_lease.record().holder}});
 }
 
 /** Until events tell that a pass has ended and the next one begun. */
 asio::awaitable<void> MapKeeper::waitForPass()
 {
-    const PoolGate &gate = m_state.pool(m_pool).gate;
+    const PoolGate &gate = this->gate();
     const TimePoint began = m_state.clock.now();
     const TimePoint seen = gate.lastAnswer();
-    const Duration limit = std::max(kLongestWindow, gate.recentPause(began).value_or(Duration(0)) * kStandstillPasses);
+    const Duration limit = std::max(kLongestWindow, gate.recentPause(began).value_or(Duration(0)) * kWindowPauses);
     while (gate.lastAnswer() - seen < kSamePass && m_state.clock.now() - began < limit) {
         co_await sleep(kPassPoll);
     }
--- a/fulmarlink/platform.h
+++ b/fulmarlink/platform.h
@@ -25,8 +25,7 @@
 struct TargetsRead {
     std::error_code error;
     bool changed = false; ///< false: the same as the last read gave, and targets is empty
-    std::vector<TargetInfo> targets;
-    unsigned malformed = 0; ///< entries that could not be understood
+    std::vector<TargetInfo> targets; ///< entries that could not be understood are left out
 };
 
 /** The entry hosts that have announced themselves; those that are gone stay in it. */
--- a/fulmarlink/poolgate.cpp
+++ b/fulmarlink/poolgate.cpp
@@ -30,7 +30,7 @@
 
 GateDecision PoolGate::decide(const PoolLoad &load, TimePoint now, Random &random)
 {
-    if (load.runners == 0 || !load.leastLoadKnown) {
+    if (load.runners == 0) {
         return {false, ResultCode::EmptyPool, retryAfter(kEmptyRetry, random)};
     }
     if (stalled()) {
@@ -125,4 +125,14 @@
     return m_lastAnswer;
 }
 
+void PoolGate::workBegan(TimePoint now)
+{
+    m_workBegan = now;
+}
+
+TimePoint PoolGate::lastSign() const
+{
+    return std::max(m_lastAnswer, m_workBegan);
+}
+
 } // namespace fulmarlink
--- a/fulmarlink/poolgate.h
+++ b/fulmarlink/poolgate.h
@@ -14,7 +14,6 @@
 struct PoolLoad {
     unsigned runners = 0; ///< that may take work
     double leastLoad = 0; ///< of the best runner, in requests for each of its slots
-    bool leastLoadKnown = false; ///< false: there is no runner
     double events = 0; ///< that the request will probably have; 0: not a stream, or not known
     Duration timeLeft{0}; ///< until its caller or its route gives it up
 };
@@ -26,8 +25,8 @@
 };
 
 /**
- * Decides at once whether a pool takes one more request, and when a refused caller
- * should come back.
+ * Decides at once whether a rank group, or a pool whose runners are in none, takes one more
+ * request, and when a refused caller should come back.
  *
  * Overload: runners that answer in lock-step slow each other down, so the gate keeps a
  * ceiling on the requests for each slot and moves it by what callers see: it sinks by a
@@ -70,11 +69,15 @@
     void refusalSeen(TimePoint now);
     /** A runner of the pool has begun to answer. */
     void answerSeen(TimePoint now);
+    /** A request goes out while no other is open. */
+    void workBegan(TimePoint now);
 
     double ceiling() const;
     bool stalled() const;
     /** When a runner of the pool last gave a sign of work. */
     TimePoint lastAnswer() const;
+    /** The later of that and of the time at which it last got work after having had none. */
+    TimePoint lastSign() const;
 
 private:
     Duration retryAfter(Duration base, Random &random) const;
@@ -84,6 +87,7 @@
     unsigned m_refusals = 0; ///< in a row
     TimePoint m_nextProbe{};
     TimePoint m_lastAnswer{};
+    TimePoint m_workBegan{};
     TimePoint m_windowBegan{};
     std::deque<std::pair<TimePoint, Duration>> m_pauses; ///< of the last kPaceWindow
     Duration m_pauseSum{0};
--- a/fulmarlink/rankorders.h
+++ b/fulmarlink/rankorders.h
@@ -16,6 +16,7 @@
 
 /** What a rank's engine says of itself; some hundred milliseconds old. */
 struct RankReport {
+    std::uint64_t born = 0; ///< when the runner started, Unix time in milliseconds; another value: it knows nothing of before; 0: not said
     std::string group; ///< empty: the runner is in no group
     std::uint64_t epoch = 0; ///< of the group; a new one begins whenever it has formed again
     unsigned rank = 0;
@@ -41,6 +42,7 @@
 /** How often a rank's requests chose each expert since it started. */
 struct ExpertCountsRead {
     std::error_code error;
+    std::uint64_t born = 0; ///< as in RankReport; counts of two starts can't be compared
     std::uint64_t epoch = 0;
     std::uint64_t pass = 0;
     std::vector<std::vector<std::uint64_t>> counts; ///< by set, by expert
--- a/fulmarlink/targetconnections.cpp
+++ b/fulmarlink/targetconnections.cpp
@@ -71,6 +71,11 @@
     }
 }
 
+void TargetConnections::drop(const std::string &targetId)
+{
+    m_idle.erase(targetId);
+}
+
 void TargetConnections::sweep(const TargetTable &targets)
 {
     const TimePoint now = m_clock.now();
--- a/fulmarlink/targetconnections.h
+++ b/fulmarlink/targetconnections.h
@@ -55,6 +55,8 @@
     boost::asio::awaitable<std::shared_ptr<TargetConnection>> acquire(TargetInfo target, std::chrono::milliseconds timeout);
     /** Keeps a connection whose last answer was whole. */
     void release(std::shared_ptr<TargetConnection> connection);
+    /** Closes what is kept to a runner that has started again: it knows none of them. */
+    void drop(const std::string &targetId);
     /** Closes what is kept to runners that are no longer listed, and what has been idle for too long. */
     void sweep(const TargetTable &targets);
 
--- a/fulmarlink/targettable.cpp
+++ b/fulmarlink/targettable.cpp
@@ -1,7 +1,7 @@
 #include "fulmarlink/targettable.h"
 
 #include <algorithm>
-#include <limits>
+#include <utility>
 
 #include "fulmarlink/mutation.h"
 
@@ -29,6 +29,10 @@
         if (info.leaving && (added || !state.info.leaving)) {
             changes.leaving.push_back(info.id);
         }
+        if (!added && info.born != 0 && state.info.born != 0 && info.born != state.info.born) {
+            changes.restarted.push_back(info.id);
+            restart(state);
+        }
         state.info = info;
         state.listed = true;
         state.missingSince.reset();
@@ -52,6 +56,17 @@
     return changes;
 }
 
+/** Nothing that was seen of the runner's earlier life holds for this one; requests that are still open here end by themselves. */
+void TargetTable::restart(State &state)
+{
+    state.others = 0;
+    state.othersAt.reset();
+    state.heardAt = TimePoint{};
+    state.failures = 0;
+    state.ejectedUntil = TimePoint{};
+    state.group.clear();
+}
+
 bool TargetTable::usable(const State &state, TimePoint now) const
 {
     const bool lapsed = state.missingSince && now - *state.missingSince >= m_options.lapseGrace;
@@ -70,31 +85,48 @@
     return (state.own + others + zone) / std::max(1U, state.info.slots);
 }
 
-const TargetInfo *TargetTable::pick(std::string_view pool, const std::set<std::string> &tried, TimePoint now, Random &random) const
+std::vector<TargetCandidate> TargetTable::candidates(std::string_view pool, const std::set<std::string> &tried, TimePoint now, Random &random) const
 {
-    const State *best = nullptr;
-    double bestScore = std::numeric_limits<double>::max();
-    bool bestEjected = true;
-    unsigned ties = 0;
+    struct Best {
+        TargetCandidate candidate;
+        unsigned ties = 0;
+    };
+    std::map<std::string_view, Best> byGroup;
     for (const auto &[id, state] : m_states) {
         if (state.info.pool != pool || !usable(state, now) || tried.contains(id)) {
             continue;
         }
-        const bool ejected = state.ejectedUntil > now || (state.slow && !mutated(Mutation::SendToSlow));
-        const double value = score(state, now);
-        if (best != nullptr && (ejected != bestEjected ? ejected : value > bestScore)) {
+        Best &best = byGroup[state.group];
+        ++best.candidate.runners;
+        const bool passedOver = state.ejectedUntil > now || (state.slow && !mutated(Mutation::SendToSlow));
+        const std::pair key(passedOver, score(state, now));
+        const std::pair bestKey(best.candidate.passedOver, best.candidate.load);
+        if (best.ties > 0 && key > bestKey) {
             continue;
         }
-        const bool equal = best != nullptr && ejected == bestEjected && value == bestScore;
-        ties = equal ? ties + 1 : 1;
-        if (equal && random() % ties != 0) {
+        best.ties = best.ties > 0 && key == bestKey ? best.ties + 1 : 1;
+        if (random() % best.ties != 0) {
             continue;
         }
-        best = &state;
-        bestScore = value;
-        bestEjected = ejected;
+        best.candidate.target = &state.info;
+        best.candidate.passedOver = key.first;
+        best.candidate.load = key.second;
+    }
+    std::vector<TargetCandidate> result;
+    for (auto &[group, best] : byGroup) {
+        best.candidate.group = group;
+        result.push_back(std::move(best.candidate));
     }
-    return best == nullptr ? nullptr : &best->info;
+    return result;
+}
+
+const TargetInfo *TargetTable::pick(std::string_view pool, const std::set<std::string> &tried, TimePoint now, Random &random) const
+{
+    const std::vector<TargetCandidate> all = candidates(pool, tried, now, random);
+    const auto best = std::ranges::min_element(all, {}, [](const TargetCandidate &candidate) {
+        return std::pair(candidate.passedOver, candidate.load);
+    });
+    return best == all.end() ? nullptr : best->target;
 }
 
 const TargetInfo *TargetTable::find(const std::string &id) const
@@ -173,15 +205,32 @@
     return true;
 }
 
-void TargetTable::setSlow(std::string_view pool, const std::vector<std::string> &ids)
+void TargetTable::setSlow(std::string_view pool, std::string_view group, const std::vector<std::string> &ids)
 {
     for (auto &[id, state] : m_states) {
-        if (state.info.pool == pool) {
+        if (state.info.pool == pool && state.group == group) {
             state.slow = std::ranges::find(ids, id) != ids.end();
         }
     }
 }
 
+void TargetTable::setGroup(const std::string &id, const std::string &group)
+{
+    const auto it = m_states.find(id);
+    if (it == m_states.end() || it->second.group == group) {
+        return;
+    }
+    it->second.group = group;
+    it->second.slow = false; // the owner of its new group's map has not said so
+}
+
+const std::string &TargetTable::groupOf(const std::string &id) const
+{
+    static const std::string kNone;
+    const auto it = m_states.find(id);
+    return it == m_states.end() ? kNone : it->second.group;
+}
+
 bool TargetTable::isSlow(const std::string &id) const
 {
     const auto it = m_states.find(id);
@@ -201,11 +250,11 @@
     }));
 }
 
-unsigned TargetTable::ownRequests(std::string_view pool) const
+unsigned TargetTable::ownRequests(std::string_view pool, std::string_view group) const
 {
     unsigned total = 0;
     for (const auto &[id, state] : m_states) {
-        total += state.info.pool == pool ? state.own : 0;
+        total += state.info.pool == pool && state.group == group ? state.own : 0;
     }
     return total;
 }
@@ -221,6 +270,17 @@
     return result;
 }
 
+std::vector<TargetInfo> TargetTable::listed(std::string_view pool, std::string_view group) const
+{
+    std::vector<TargetInfo> result;
+    for (const auto &[id, state] : m_states) {
+        if (state.listed && state.info.pool == pool && state.group == group) {
+            result.push_back(state.info);
+        }
+    }
+    return result;
+}
+
 std::size_t TargetTable::size() const
 {
     return m_states.size();
--- a/fulmarlink/targettable.h
+++ b/fulmarlink/targettable.h
@@ -16,7 +16,8 @@
 
 /** One runner as the platform lists it. */
 struct TargetInfo {
-    std::string id; ///< of this start of the runner
+    std::string id; ///< unique among the runners listed; a runner may start again under the id that it had
+    std::uint64_t born = 0; ///< when it started, Unix time in milliseconds; 0: not said
     std::string pool;
     HttpTarget address;
     std::string zone;
@@ -38,9 +39,19 @@
     Duration loadTrust = std::chrono::milliseconds(1200); ///< a reported load counts in full until then and not at all at twice that age
 };
 
+/** The best runner of one rank group, as pick() compares them. */
+struct TargetCandidate {
+    std::string group; ///< empty: of the runners in no group
+    const TargetInfo *target = nullptr;
+    double load = 0; ///< requests for each of its slots
+    bool passedOver = false; ///< it failed lately or is slow, as all of its group are
+    unsigned runners = 0; ///< of the group that may take work
+};
+
 /** What a new list changed, for the log. */
 struct TargetChanges {
     std::vector<std::string> added;
+    std::vector<std::string> restarted; ///< under the id that they had
     std::vector<std::string> leaving;
     std::vector<std::string> gone;
 };
@@ -69,6 +80,8 @@
     TargetChanges setTargets(const std::vector<TargetInfo> &list, TimePoint now);
     /** Chooses a runner of @p pool that is not in @p tried; null if none may take work. */
     const TargetInfo *pick(std::string_view pool, const std::set<std::string> &tried, TimePoint now, Random &random) const;
+    /** The best runner of each rank group of @p pool, and of those in no group, that is not in @p tried; by group name. */
+    std::vector<TargetCandidate> candidates(std::string_view pool, const std::set<std::string> &tried, TimePoint now, Random &random) const;
     /** Null if the runner is not listed. */
     const TargetInfo *find(const std::string &id) const;
     bool mayTake(const std::string &id, TimePoint now) const;
@@ -84,21 +97,30 @@
     /** A failure that speaks against the runner. True if it is passed over from now on. */
     bool failed(const std::string &id, TimePoint now);
 
-    /** The runners of @p pool that work far below their speed; the others of the pool don't. */
-    void setSlow(std::string_view pool, const std::vector<std::string> &ids);
+    /** The runners of @p pool and @p group that work far below their speed; the others of that group don't. */
+    void setSlow(std::string_view pool, std::string_view group, const std::vector<std::string> &ids);
+
+    /** Which rank group the runner is in; empty: none. */
+    void setGroup(const std::string &id, const std::string &group);
+    /** Empty if it is in none, or not known, or not listed. */
+    const std::string &groupOf(const std::string &id) const;
 
     bool isSlow(const std::string &id) const;
 
     /** Requests for each slot at @p id, as pick() compares them. */
     double load(const std::string &id, TimePoint now) const;
     unsigned available(std::string_view pool, TimePoint now) const;
-    unsigned ownRequests(std::string_view pool) const;
+    /** This entry's requests in progress at the runners of @p pool and @p group. */
+    unsigned ownRequests(std::string_view pool, std::string_view group) const;
     std::vector<TargetInfo> listed(std::string_view pool) const;
+    /** Those of one rank group. */
+    std::vector<TargetInfo> listed(std::string_view pool, std::string_view group) const;
     std::size_t size() const;
 
 private:
     struct State {
         TargetInfo info;
+        std::string group; ///< of ranks; empty: none
         bool listed = true;
         std::optional<TimePoint> missingSince; ///< absent from the list after an outage
         unsigned own = 0;
@@ -112,6 +134,7 @@
 
     bool usable(const State &state, TimePoint now) const;
     double score(const State &state, TimePoint now) const;
+    void restart(State &state);
 
     TargetTableOptions m_options;
     std::map<std::string, State> m_states;
--- a/standins/platformfleet.cpp
+++ b/standins/platformfleet.cpp
@@ -100,6 +100,9 @@
                 items.push_back(shown(key, object));
             }
         }
+        if (spoil) {
+            items.push_back(json::object{{"metadata", json::object{{"name", "\xff\xfe"}}}, {"spec", "\xc3"}});
+        }
         return jsonResponse(kOk, json::object{{"items", items}, {"more", false}, {"current_rev", m_revision}});
     }
     if (it == m_objects.end() || !it->second.contains(name)) {
@@ -159,6 +162,18 @@
     co_return write(kind, name, request);
 }
 
+json::object runnerEntry(const std::string &pool, const HttpTarget &address, unsigned slots, const std::string &state)
+{
+    return {{"service", pool},
+            {"addr", address.address + ':' + std::to_string(address.port)},
+            {"zone", "z"},
+            {"version", "v1"},
+            {"slots", slots},
+            {"state", state},
+            {"cold_left_ms", 0},
+            {"call_seq", 0}};
+}
+
 PlatformRunner::PlatformRunner(asio::io_context &context, std::string id)
     : act([](const HttpRequest &) {
         return RunnerAct::Answer;
@@ -192,6 +207,7 @@
         if (error) {
             co_return;
         }
+        ++connections;
         asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
     }
 }
@@ -215,6 +231,10 @@
         if (error) {
             co_return;
         }
+        const bool reported = co_await answerReport(stream, request, again);
+        if (reported) {
+            continue;
+        }
         seen.push_back(request);
         RunnerAct chosen = act(request);
         if (header(request, wire_names::kExpectInstance) != m_id) {
@@ -224,6 +244,17 @@
     }
 }
 
+asio::awaitable<bool> PlatformRunner::answerReport(boost::beast::tcp_stream &stream, const HttpRequest &request, bool &again)
+{
+    if (request.target() != wire_names::kReport) {
+        co_return false;
+    }
+    ++reports;
+    const std::string body = json::serialize(report);
+    again = co_await write(stream, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    co_return true;
+}
+
 std::string PlatformRunner::head(const HttpRequest &request, const std::string &status, const std::string &extra) const
 {
     return "HTTP/1.1 " + status + "\r\n" + line(wire_names::kAttemptId, header(request, wire_names::kAttemptId)) + line(wire_names::kLoad, "1,0,4")
--- a/standins/platformfleet.h
+++ b/standins/platformfleet.h
@@ -42,6 +42,7 @@
 
     StoreFaults faults;
     unsigned calls = 0;
+    bool spoil = false; ///< lists hold one more item whose text is not valid in its encoding
 
 private:
     struct Object {
@@ -60,6 +61,9 @@
     std::uint64_t m_revision = 1;
 };
 
+/** What a runner of @p pool writes of itself into the store. */
+boost::json::object runnerEntry(const std::string &pool, const HttpTarget &address, unsigned slots, const std::string &state = "ready");
+
 /** What a runner does with one request. */
 enum class RunnerAct : std::uint8_t {
     Answer, ///< a whole answer
@@ -90,14 +94,20 @@
     std::function<RunnerAct(const HttpRequest &)> act;
     std::chrono::milliseconds work{0}; ///< before an answer, and between events
     unsigned events = 6; ///< of a stream
+    /** What it says of itself, fields of the platform's report; empty: it is in no group. */
+    boost::json::object report;
     std::vector<std::string> ran; ///< ids of the attempts that were run
-    std::vector<HttpRequest> seen; ///< all requests that arrived
+    std::vector<HttpRequest> seen; ///< all requests that arrived, but for those of its report
+    std::size_t connections = 0; ///< that were opened to it
+    unsigned reports = 0; ///< times that its report was read
     unsigned abandoned = 0; ///< streams whose connection closed before their end
 
 private:
     boost::asio::awaitable<void> acceptLoop();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<bool> answer(boost::beast::tcp_stream &stream, const HttpRequest &request, RunnerAct act);
+    /** True if the request was about the runner itself and is answered. */
+    boost::asio::awaitable<bool> answerReport(boost::beast::tcp_stream &stream, const HttpRequest &request, bool &again);
     boost::asio::awaitable<bool> stream(boost::beast::tcp_stream &stream, const HttpRequest &request, RunnerAct act);
     boost::asio::awaitable<bool> write(boost::beast::tcp_stream &stream, std::string text);
     boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
--- a/testing/gatewaymutation_test.cpp
+++ b/testing/gatewaymutation_test.cpp
@@ -119,7 +119,7 @@
     TargetInfo other = slow;
     other.id = "b";
     targets.setTargets({slow, other}, at(0));
-    targets.setSlow("p", {"a"});
+    targets.setSlow("p", "", {"a"});
     targets.sent("b");
     Random random(1);
     return targets.pick("p", {}, at(0), random)->id == "b";
@@ -132,7 +132,7 @@
         gate.pauseSeen(std::chrono::milliseconds(1000), std::chrono::milliseconds(150), at(0));
     }
     Random random(1);
-    const PoolLoad load{.runners = 2, .leastLoad = 0.1, .leastLoadKnown = true, .events = 20, .timeLeft = std::chrono::milliseconds(8000)};
+    const PoolLoad load{.runners = 2, .leastLoad = 0.1, .events = 20, .timeLeft = std::chrono::milliseconds(8000)};
     return !gate.decide(load, at(10), random).admitted;
 }
 
--- a/testing/harness/fakegroup.cpp
+++ b/testing/harness/fakegroup.cpp
@@ -139,7 +139,7 @@
 
 asio::awaitable<TargetsRead> FakeGroup::readTargets()
 {
-    co_return TargetsRead{{}, true, targets(), 0};
+    co_return TargetsRead{{}, true, targets()};
 }
 
 asio::awaitable<std::error_code> FakeGroup::announceEntry(std::string /*host*/)
--- /dev/null
+++ b/testing/harness/gatewayfixture.h
@@ -0,0 +1,210 @@
+#pragma once
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/json/parse.hpp>
+#include <gtest/gtest.h>
+
+#include "fulmarlink/gateway.h"
+#include "fulmarlink/hostclock.h"
+#include "fulmarlink/log.h"
+#include "fulmarlink/platform.h"
+#include "platform/platformclient.h"
+#include "platform/platformprotocol.h"
+#include "standins/platformfleet.h"
+#include "testing/harness/freeport.h"
+
+namespace fulmarlink::testing
+{
+
+using namespace std::chrono_literals;
+using standins::PlatformRunner;
+using standins::PlatformStore;
+using standins::RunnerAct;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+inline constexpr const char *kConfiguration = R"({"version":3,"limits":{"max_body_bytes":2000,"max_header_bytes":1000,"header_timeout_ms":300},
+"routes":[
+ {"name":"once","host":"h.example","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":900,"slo_ms":100,"priority":1,"service":"plain","max_attempts":2},
+ {"name":"again","host":"h.example","path_prefix":"/again/","kind":"idempotent","timeout_ms":1500,"slo_ms":100,"priority":1,"service":"plain","max_attempts":2},
+ {"name":"stream","host":"h.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":4000,"slo_ms":500,"gap_target_ms":120,"resumable":true,"priority":1,"service":"plain","max_attempts":2},
+ {"name":"open","host":"h.example","path_prefix":"/open/","kind":"idempotent","timeout_ms":900,"slo_ms":100,"priority":1,"service":"plain","max_attempts":1,"anonymous":true}],
+"services":[{"name":"plain","max_conns":100}],
+"tenants":[{"name":"customer","api_keys":["key","second"]}]})";
+
+/** What a caller got. */
+struct Answer {
+    unsigned status = 0; ///< 0: none
+    std::string body;
+    bool whole = false;
+    http::fields head;
+
+    std::string operator[](const std::string &name) const
+    {
+        return std::string(head[name]);
+    }
+};
+
+/** A gateway over real sockets between a caller, a stand-in of the platform's store and two runners of one pool. */
+class GatewayTest : public ::testing::Test
+{
+public:
+    GatewayTest()
+        : store(context)
+        , a(context, "i-a")
+        , b(context, "i-b")
+    {
+        startLogging("off");
+        settings.host = "entry";
+        settings.zone = "z";
+        settings.callers = {"127.0.0.1", freePort()};
+        settings.readiness = {"127.0.0.1", freePort()};
+        settings.store = store.listen();
+        addresses["i-a"] = a.listen();
+        addresses["i-b"] = b.listen();
+        store.set("config", "main", json::parse(kConfiguration));
+        list("i-a");
+        list("i-b");
+    }
+
+    void list(const std::string &id, const std::string &state = "ready")
+    {
+        store.set("servers", id, standins::runnerEntry("plain", addresses[id], 4, state));
+    }
+
+    void start()
+    {
+        GatewayEdges edges;
+        edges.protocol = std::make_unique<PlatformProtocol>();
+        PlatformClientOptions options;
+        options.store = settings.store;
+        options.storeTimeout = 200ms;
+        edges.platform = std::make_unique<PlatformClient>(context.get_executor(), clock, counters, options);
+        gateway = std::make_unique<Gateway>(context, settings, counters, std::move(edges));
+        gateway->start();
+        ASSERT_TRUE(runUntil(
+            [this] {
+                return gateway->ready();
+            },
+            5s));
+    }
+
+    template<typename Condition>
+    bool runUntil(Condition condition, std::chrono::milliseconds limit)
+    {
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (!condition() && std::chrono::steady_clock::now() < end) {
+            context.run_for(5ms);
+        }
+        return condition();
+    }
+
+    HttpRequest request(const std::string &path, const std::string &key = "key")
+    {
+        HttpRequest result(http::verb::post, path, 11);
+        result.set(http::field::host, "h.example");
+        result.set("Attempt-Id", "attempt-" + std::to_string(++attempts));
+        result.set("Deadline-Ms", "5000");
+        if (!key.empty()) {
+            result.set(http::field::authorization, "Token " + key);
+        }
+        result.body() = "text";
+        result.prepare_payload();
+        return result;
+    }
+
+    asio::awaitable<void> exchange(HttpRequest message, std::shared_ptr<Answer> answer, std::shared_ptr<bool> done)
+    {
+        boost::system::error_code error;
+        boost::beast::tcp_stream stream(context);
+        co_await stream.async_connect({asio::ip::make_address("127.0.0.1"), settings.callers.port}, asio::redirect_error(asio::use_awaitable, error));
+        co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
+        boost::beast::flat_buffer buffer;
+        http::response_parser<http::string_body> parser;
+        co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        answer->status = parser.is_header_done() ? parser.get().result_int() : 0;
+        answer->whole = !error;
+        answer->body = parser.get().body();
+        answer->head = parser.get();
+        *done = true;
+    }
+
+    Answer ask(HttpRequest message, std::chrono::milliseconds limit = 6s)
+    {
+        auto answer = std::make_shared<Answer>();
+        auto done = std::make_shared<bool>(false);
+        asio::co_spawn(context, exchange(std::move(message), answer, done), asio::detached);
+        runUntil(
+            [done] {
+                return *done;
+            },
+            limit);
+        return *answer;
+    }
+
+    /** Both runners do the same with every request. */
+    void both(RunnerAct act)
+    {
+        for (PlatformRunner *runner : {&a, &b}) {
+            runner->act = [act](const HttpRequest &) {
+                return act;
+            };
+        }
+    }
+
+    /** The first request at any runner is treated so, the others are answered. */
+    void first(RunnerAct act)
+    {
+        auto used = std::make_shared<bool>(false);
+        for (PlatformRunner *runner : {&a, &b}) {
+            runner->act = [act, used](const HttpRequest &) {
+                return std::exchange(*used, true) ? RunnerAct::Answer : act;
+            };
+        }
+    }
+
+    /** The runners report that they are the only ranks of these groups; an empty name: of none. */
+    void joinGroups(const std::string &groupOfA, const std::string &groupOfB)
+    {
+        const auto join = [](PlatformRunner &runner, const std::string &group) {
+            if (!group.empty()) {
+                runner.report["group"] = json::object{{"name", group}, {"epoch", 1}, {"rank", 0}, {"size", 1}, {"state", "open"}};
+            }
+        };
+        join(a, groupOfA);
+        join(b, groupOfB);
+        json::value grouped = json::parse(kConfiguration);
+        grouped.at("services").at(0).as_object()["engine"] = json::object{{"slots", 4}, {"sets", 1}, {"experts", 4}, {"placements", 2}};
+        store.set("config", "main", grouped);
+    }
+
+    std::size_t runs() const
+    {
+        return a.ran.size() + b.ran.size();
+    }
+
+    const HttpRequest &lastSeen() const
+    {
+        return a.seen.empty() ? b.seen.back() : a.seen.back();
+    }
+
+    HostClock clock;
+    Counters counters;
+    asio::io_context context{1};
+    PlatformStore store;
+    PlatformRunner a;
+    PlatformRunner b;
+    std::map<std::string, HttpTarget> addresses;
+    GatewaySettings settings;
+    std::unique_ptr<Gateway> gateway;
+    unsigned attempts = 0;
+};
+
+} // namespace fulmarlink::testing
--- a/testing/mapkeeper_test.cpp
+++ b/testing/mapkeeper_test.cpp
@@ -50,10 +50,13 @@
         configuration.services.push_back(service);
         ASSERT_TRUE(state->config.offer(std::move(configuration)));
         state->targets.setTargets(group->targets(), clock.now());
+        for (const TargetInfo &target : group->targets()) {
+            state->targets.setGroup(target.id, "g");
+        }
         group->start([this](Duration length) {
             noteEvents(length);
         });
-        keeper = std::make_shared<MapKeeper>(context, *state, *group, "model");
+        keeper = std::make_shared<MapKeeper>(context, *state, *group, "model", "g");
         asio::co_spawn(context, keeper->run(), asio::detached);
     }
 
@@ -64,7 +67,7 @@
         if (!streamsHere) {
             return;
         }
-        PoolGate &gate = state->pool("model").gate;
+        PoolGate &gate = state->pool("model").gate("g");
         gate.answerSeen(clock.now());
         for (unsigned i = 0; i < kStreams; ++i) {
             gate.pauseSeen(length, 100ms, clock.now());
--- a/testing/platformcodec_test.cpp
+++ b/testing/platformcodec_test.cpp
@@ -64,11 +64,38 @@
 
 TEST(PlatformCodec, ARunnersEntryThatIsMalformedIsLeftOut)
 {
-    EXPECT_TRUE(decodeTarget("i", json::parse(R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","slots":12,"state":"ready"})")));
-    EXPECT_TRUE(decodeTarget("i", json::parse(R"({"service":"s","addr":"10.0.0.9:8080","state":"draining"})"))->leaving);
-    EXPECT_FALSE(decodeTarget("i", json::parse(R"({"service":"s","addr":"nowhere"})")));
-    EXPECT_FALSE(decodeTarget("i", json::parse(R"({"addr":"10.0.0.9:8080"})")));
-    EXPECT_FALSE(decodeTarget("i", json::parse("7")));
+    const json::object sound = json::parse(R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","version":"v1","slots":12,"state":"ready","cold_left_ms":0,
+        "stage":"unified","models":[],"call_seq":4})")
+                                   .as_object();
+    const auto problemWith = [&sound](std::string_view field, const json::value &value) {
+        json::object entry = sound;
+        entry[json::string_view(field.data(), field.size())] = value;
+        std::string problem;
+        return decodeTarget("i", entry, problem) ? std::string() : problem;
+    };
+    EXPECT_EQ(problemWith("state", "ready"), "");
+    EXPECT_EQ(problemWith("born", 1'790'000'000'000), "");
+    EXPECT_EQ(problemWith("of a later version", 1), "");
+    std::string problem;
+    json::object leaving = sound;
+    leaving["state"] = "draining";
+    EXPECT_TRUE(decodeTarget("i", leaving, problem)->leaving);
+    for (const char *field : {"service", "addr", "zone", "version", "slots", "state", "cold_left_ms", "call_seq"}) {
+        EXPECT_NE(problemWith(field, nullptr).find(field), std::string::npos);
+        EXPECT_NE(problemWith(field, json::object{}).find(field), std::string::npos);
+        json::object entry = sound;
+        entry.erase(field);
+        EXPECT_FALSE(decodeTarget("i", entry, problem)) << field;
+    }
+    for (const char *address : {"nowhere", "10.0.0.9", "10.0.0.9:", "10.0.0.9:99999", "10.0.0.9:80x", "host:80", ":80"}) {
+        EXPECT_NE(problemWith("addr", address), "") << address;
+    }
+    EXPECT_NE(problemWith("state", "asleep"), "");
+    EXPECT_NE(problemWith("born", "yesterday"), "");
+    EXPECT_NE(problemWith("born", 1.5), "");
+    EXPECT_NE(problemWith("slots", -1), "");
+    EXPECT_FALSE(decodeTarget("i", json::parse("7"), problem));
+    EXPECT_FALSE(decodeTarget("i", json::parse("null"), problem));
 }
 
 TEST(PlatformCodec, WhatConcernsOneConnectionAndTheKeyStayBehind)
--- a/testing/poolgate_test.cpp
+++ b/testing/poolgate_test.cpp
@@ -18,7 +18,7 @@
     return TimePoint(std::chrono::seconds(500) + milliseconds(ms));
 }
 
-constexpr PoolLoad kHalf{.runners = 4, .leastLoad = 0.5, .leastLoadKnown = true};
+constexpr PoolLoad kHalf{.runners = 4, .leastLoad = 0.5};
 
 } // namespace
 
@@ -143,7 +143,7 @@
     PoolGate gate;
     Random random(1);
     playPauses(gate, 1200, 0, 3600);
-    PoolLoad usual{.runners = 4, .leastLoad = 0.2, .leastLoadKnown = true, .events = 19, .timeLeft = milliseconds(8000)};
+    PoolLoad usual{.runners = 4, .leastLoad = 0.2, .events = 19, .timeLeft = milliseconds(8000)};
     const GateDecision refused = gate.decide(usual, at(3700), random);
     EXPECT_EQ(refused.refusal, ResultCode::PoolTooSlow);
     EXPECT_GT(refused.retryAfter, milliseconds(100));
--- a/testing/soak_main.cpp
+++ b/testing/soak_main.cpp
@@ -144,7 +144,7 @@
                 return chooseAct();
             };
             const HttpTarget address = proxy(runner.listen()).listen();
-            m_store.set("servers", runner.id(), json::object{{"service", "plain"}, {"addr", text(address)}, {"zone", "z"}, {"slots", 8}, {"state", "ready"}});
+            m_store.set("servers", runner.id(), standins::runnerEntry("plain", address, 8));
         }
         for (unsigned i = 0; i < kGateways; ++i) {
             m_gateways.push_back({"127.0.0.1", freePort()});
--- a/testing/targettable_test.cpp
+++ b/testing/targettable_test.cpp
@@ -120,13 +120,13 @@
 {
     TargetTable targets = table();
     targets.setTargets({target("a"), target("b")}, at(0));
-    targets.setSlow("p", {"a"});
+    targets.setSlow("p", "", {"a"});
     targets.sent("b");
     EXPECT_EQ(picked(targets, at(0)), "b");
     EXPECT_EQ(picked(targets, at(0), {"b"}), "a") << "a slow runner is better than none";
-    targets.setSlow("other", {});
+    targets.setSlow("other", "", {});
     EXPECT_EQ(picked(targets, at(0)), "b");
-    targets.setSlow("p", {});
+    targets.setSlow("p", "", {});
     EXPECT_EQ(picked(targets, at(0)), "a");
 }
 
