--- a/fulmarlink/admission.cpp
+++ b/fulmarlink/admission.cpp
@@ -4,6 +4,7 @@
 #include <tuple>
 
 #include "fulmarlink/gatewaystate.h"
+#include "fulmarlink/mutation.h"
 
 namespace fulmarlink
 {
@@ -11,23 +12,44 @@
 namespace
 {
 
+constexpr double kEmptyLoad = 0.05; ///< of a runner without requests, so that the pace counts there too
+/**
+ * Shorter pauses than this share of what is on time are all the same to callers; where a group's passes are longer its load counts for as much more.
+ * A group that waits for a slow rank, or whose map does not fit, so gets less until it is well again: on heavy days with a slow rank 0.07 of the
+ * worth more, by 8 plays with and without; 0.3 instead of 0.7 is 0.025 worse there, and no other day cares.
+ */
+constexpr double kEasyPace = 0.7;
+
 struct RankedCandidate {
     TargetCandidate candidate;
     bool standsStill = false;
+    double cost = 0; ///< of its load, by how long the group's passes take
     std::uint64_t tieBreak = 0;
 
     auto key() const
     {
-        return std::tuple(standsStill, candidate.passedOver, candidate.load, tieBreak);
+        return std::tuple(standsStill && !mutated(Mutation::AskStillGroup), candidate.passedOver, cost, tieBreak);
     }
 };
 
+/** The group's mean pause as a share of what is on time. */
+double paceOf(const PoolGate &gate, TimePoint now)
+{
+    const std::optional<Duration> pause = gate.recentPause(now);
+    if (!pause || gate.gapTarget() <= Duration(0) || mutated(Mutation::IgnoreGroupPace)) {
+        return 0;
+    }
+    return std::chrono::duration<double>(*pause) / std::chrono::duration<double>(gate.gapTarget());
+}
+
 std::vector<RankedCandidate> ranked(GatewayState &state, const std::string &pool, const std::set<std::string> &tried, TimePoint now)
 {
     std::vector<RankedCandidate> result;
     for (TargetCandidate &candidate : state.targets.candidates(pool, tried, now, state.random)) {
         const bool still = state.standsStill(pool, candidate.group, now);
-        result.push_back({std::move(candidate), still, state.random()});
+        const double pace = std::max(kEasyPace, paceOf(state.pool(pool).gate(candidate.group), now));
+        const double cost = (candidate.load + kEmptyLoad) * pace;
+        result.push_back({std::move(candidate), still, cost, state.random()});
     }
     std::ranges::sort(result, {}, &RankedCandidate::key);
     return result;
@@ -40,7 +62,7 @@
     const TimePoint now = state.clock.now();
     Admission result;
     bool refused = false;
-    for (const auto &[candidate, still, tieBreak] : ranked(state, pool, tried, now)) {
+    for (const auto &[candidate, still, cost, tieBreak] : ranked(state, pool, tried, now)) {
         PoolGate &gate = state.pool(pool).gate(candidate.group);
         PoolLoad load;
         load.runners = candidate.runners;
--- a/fulmarlink/admission.h
+++ b/fulmarlink/admission.h
@@ -33,7 +33,7 @@
 /**
  * Chooses the group of a pool, then the rank. Groups are asked in this order: those that
  * move before those that stand still, those with sound ranks before others, then by the
- * load of their best rank. So a group that has lost a rank costs only the requests that it
+ * load of their best rank, which counts for more where passes take long. So a group that has lost a rank costs only the requests that it
  * holds: its gate refuses after a few, and new ones go to the other groups.
  *
  * If all refuse, the answer is the refusal that lets the caller come back soonest.
--- a/fulmarlink/expertload.cpp
+++ b/fulmarlink/expertload.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "fulmarlink/mutation.h"
+
 namespace fulmarlink
 {
 
@@ -9,7 +11,8 @@
 {
     const auto [it, first] = m_last.try_emplace(target, read);
     const ExpertCountsRead previous = std::exchange(it->second, read);
-    if (first || previous.epoch != read.epoch || previous.born != read.born || previous.counts.size() != read.counts.size()) {
+    if (first || previous.epoch != read.epoch || (previous.born != read.born && !mutated(Mutation::MixStarts))
+        || previous.counts.size() != read.counts.size()) {
         return;
     }
     m_difference.resize(read.counts.size());
--- a/fulmarlink/gatewaysettings.h
+++ b/fulmarlink/gatewaysettings.h
@@ -33,6 +33,17 @@
     double linkMbps = 0; ///< of this host; 0: not known. Hosts with faster links give the orders to a group
     double skewWeight = 1; ///< worth of steps that are shorter, against...
     double costWeight = 1; ///< ...the price of moving experts
+    /**
+     * Ranks of a group whose counts are read to see what is in demand. Requests spread evenly, so two stand for all: 5 cost 0.02 to 0.03 of worth more,
+     * also by the passes that stop while counts are read, and served nobody better by 20 to 30 plays on four sites.
+     */
+    unsigned sampledRanks = 2;
+    /** Copies of a first switch after a turn, of one rank: about one slow pass; the few that fit take away most of the imbalance, sooner than all would. */
+    std::chrono::milliseconds firstCopies{120};
+    /** Copies of the rest: a switch must be in force long before demand turns again; 0.46 s served 2 to 5 in 100 less on heavy days. */
+    std::chrono::milliseconds copies{350};
+    double leastImprovement = 0.2; ///< of the busiest rank's load over the mean; below it orders and copies cost more than the shorter passes bring
+    double restShare = 0.5; ///< of the gap target: where passes are shorter after the first switch, the rest would serve nobody better
 
     /** All errors are recorded; the result is only meaningful without any. */
     static GatewaySettings parse(std::string_view text, const std::string &file, FileErrors &errors);
--- a/fulmarlink/mapkeeper.cpp
+++ b/fulmarlink/mapkeeper.cpp
@@ -36,17 +36,9 @@
 constexpr Duration kGroupForgotten = std::chrono::seconds(10); ///< without a member; ranks that are replaced one after the other take less
 constexpr Duration kYield = std::chrono::seconds(4); ///< a partition lasts seconds; by then another entry has the lease
 constexpr Duration kReportMargin = std::chrono::milliseconds(80); ///< beyond the reports' stated lag
-constexpr double kLeastImprovement
-    = 0.2; ///< of the busiest rank's load over the mean; below it a switch costs more in orders and copies than the shorter passes bring
 constexpr double kLeastWeight = 0.001; ///< keeps a weight of zero from dividing
 constexpr double kLeastChoices = 2000; ///< in the counts of a round, so that noise moves nothing
-constexpr Duration kCopyBudget = std::chrono::milliseconds(350); ///< for the copies of one rank: a switch must be in force long before demand turns again; 0.46
-                                                                 ///< s served 2 to 5 in 100 less on heavy days, 0.24 s leaves too much skew on quiet ones
 constexpr double kUsualImbalance = 1.2; ///< of a map that fits what is in demand, with the noise of a short window
-constexpr double kRestShare = 0.5; ///< of the gap target: where passes are shorter after the first switch, the rest of the copies would serve nobody better and
-                                   ///< costs 0.03 of a calm day
-constexpr Duration kFirstCopyBudget = std::chrono::milliseconds(
-    120); ///< about one slow pass; the few copies that fit take away most of the imbalance (3.3 to 1.5 with one a rank), 0.23 s sooner than all would
 constexpr unsigned kChangesAtOnce = 64; ///< about a millisecond of a core for 72 ranks
 constexpr std::uint64_t kVersionsOfTerm = 1U << 20; ///< at a switch each three seconds a term would have to last a month to run out of them
 constexpr double kCopyMargin = 1.03;
@@ -228,8 +220,8 @@
     if (load.size() != m_map.size() || load.front().size() != m_engine.experts) {
         co_return;
     }
-    const double least = kLeastImprovement * m_state.settings.costWeight / std::max(kLeastWeight, m_state.settings.skewWeight);
-    for (const Duration budget : {kFirstCopyBudget, kCopyBudget}) {
+    const double least = m_state.settings.leastImprovement * m_state.settings.costWeight / std::max(kLeastWeight, m_state.settings.skewWeight);
+    for (const Duration budget : {Duration(m_state.settings.firstCopies), Duration(m_state.settings.copies)}) {
         ExpertPlan plan = co_await planned(load, budget);
         if (plan.before - plan.after < least) {
             const bool changed = co_await lookForSlowRanks(); // the map fits, and still passes are long
@@ -255,7 +247,7 @@
         return true;
     }
     const std::chrono::duration<double> expected = std::chrono::duration<double>(*calm) * passRatio(m_engine, kUsualImbalance, imbalance);
-    return expected > std::chrono::duration<double>(target) * kRestShare;
+    return expected > std::chrono::duration<double>(target) * m_state.settings.restShare;
 }
 
 asio::awaitable<ExpertPlan> MapKeeper::planned(const std::vector<std::vector<double>> &load, Duration copyBudget)
@@ -341,6 +333,7 @@
     if (done) {
         m_pace.restart(m_state.clock.now());
         m_switchPass = m_switch.pass();
+        m_switchGo = m_state.clock.now();
         m_map = std::move(plan.map);
         m_knownVersion = version;
         m_mapKnown = true;
--- a/fulmarlink/mapkeeper.h
+++ b/fulmarlink/mapkeeper.h
@@ -63,6 +63,8 @@
     /** False if a rank did not accept its order. */
     boost::asio::awaitable<bool> sendOrders(std::vector<AddressedOrder> orders);
     boost::asio::awaitable<bool> readPass();
+    void notePass(std::uint64_t pass);
+    std::optional<std::uint64_t> passNow() const;
     void choosePass(unsigned refusals);
     boost::asio::awaitable<void> sleep(Duration duration);
     boost::asio::awaitable<void> sendOne(unsigned rank, RankOrder order, std::shared_ptr<Gather> gather);
@@ -92,8 +94,10 @@
     std::vector<std::string> m_slowTargets; ///< as the lease's record last said
     TimePoint m_unknownLook{}; ///< when the map in use was last asked for in vain
     unsigned m_unreached = 0; ///< listed ranks that the last reading of reports got no answer from
-    std::uint64_t m_pass = 0; ///< in progress when it was read
+    std::uint64_t m_pass = 0; ///< the newest that is known to have begun
+    TimePoint m_passAt{}; ///< when that became known
     std::uint64_t m_switchPass = 0; ///< as which the last switch comes into force
+    TimePoint m_switchGo{}; ///< when that pass was let go
     std::uint64_t m_knownEpoch = 0; ///< of m_map
     std::uint64_t m_knownVersion = 0; ///< of m_map
     bool m_mapKnown = false;
--- a/fulmarlink/mapkeepercalls.cpp
+++ b/fulmarlink/mapkeepercalls.cpp
@@ -28,9 +28,9 @@
 constexpr Duration kArmPause = std::chrono::milliseconds(15); ///< a rank whose copy is late refuses to be armed until it is there
 constexpr Duration kUsualPass = std::chrono::milliseconds(50); ///< where no events were seen lately
 constexpr Duration kShortestPass = std::chrono::milliseconds(18); ///< of a group that has work
+constexpr Duration kPassForgotten = std::chrono::milliseconds(1500); ///< some 20 passes, counted by their mean length to about two
+constexpr unsigned kMostGuesses = 4; ///< of a pass that has not begun, in a row; a second way of knowing takes as long
 constexpr Duration kLongestPrepare = std::chrono::seconds(4); ///< a copy that takes longer is given up; it does no harm
-constexpr unsigned kSampledRanks
-    = 5; ///< of a group; requests spread evenly, so these stand for all: plans from 8 of 16 ranks won nothing and cost 0.011 of worth more on a quiet day
 
 } // namespace
 
@@ -174,7 +174,7 @@
 asio::awaitable<void> MapKeeper::readCounts()
 {
     auto gather = std::make_shared<Gather>(m_context, 0);
-    const std::size_t sampled = std::min<std::size_t>(kSampledRanks, m_ranks.size());
+    const std::size_t sampled = std::min<std::size_t>(m_state.settings.sampledRanks, m_ranks.size());
     for (std::size_t i = 0; i < sampled; ++i) {
         gather->targets.push_back(m_ranks[i * m_ranks.size() / sampled]);
     }
@@ -195,7 +195,7 @@
             m_mapKnown = false;
             m_switchPass = 0;
         }
-        m_pass = read.pass;
+        notePass(read.pass);
         m_load.add(gather->targets[i].id, read);
     }
 }
@@ -238,6 +238,26 @@
     co_return accepted;
 }
 
+void MapKeeper::notePass(std::uint64_t pass)
+{
+    m_pass = pass;
+    m_passAt = m_state.clock.now();
+}
+
+/**
+ * Which pass is in progress, by the last one known and the pace of the events here; nothing where that is long ago or no events tell. A guess that
+ * is too low is refused within a round trip, which costs a seventh of reading a rank's counts and does not stop the group.
+ */
+std::optional<std::uint64_t> MapKeeper::passNow() const
+{
+    const TimePoint now = m_state.clock.now();
+    const std::optional<Duration> length = gate().recentPause(now);
+    if (!length || now - m_passAt > kPassForgotten) {
+        return std::nullopt;
+    }
+    return m_pass + static_cast<std::uint64_t>((now - m_passAt) / std::max(kShortestPass, *length));
+}
+
 /** Which pass is in progress: a rank's counts tell it at once, reports only after their lag. */
 asio::awaitable<bool> MapKeeper::readPass()
 {
@@ -248,7 +268,7 @@
             {{"pool", m_pool}, {"group", m_group}, {"target", m_ranks.front().id}, {"error", read.error.message()}, {"epoch", std::to_string(read.epoch)}});
         co_return false;
     }
-    m_pass = read.pass;
+    notePass(read.pass);
     co_return true;
 }
 
@@ -275,6 +295,7 @@
     const Duration lag = m_engine.reportLag + kReportMargin;
     TimePoint copiesBegan = began;
     unsigned refusals = 0;
+    unsigned guesses = 0;
     while (m_switch.phase() != SwitchPhase::Idle) {
         const TimePoint now = m_state.clock.now();
         if ((!helping && !m_lease.holds()) || (helping && now - began > kLongestHelp)
@@ -287,6 +308,15 @@
             continue;
         }
         if (m_switch.needsPass() && !helping) {
+            if (m_switch.pass() != 0) {
+                notePass(m_switch.pass()); // it was refused since it has begun
+            }
+            const std::optional<std::uint64_t> estimate = passNow();
+            if (estimate && ++guesses <= kMostGuesses) {
+                m_switch.holdAt(*estimate + 1);
+                continue;
+            }
+            guesses = 0;
             const bool known = co_await readPass();
             if (known) {
                 m_switch.holdAt(m_pass + 1);
--- a/fulmarlink/mapkeeperpace.cpp
+++ b/fulmarlink/mapkeeperpace.cpp
@@ -112,11 +112,17 @@
 asio::awaitable<void> MapKeeper::waitForSwitch()
 {
     const TimePoint began = m_state.clock.now();
-    while (m_pass < m_switchPass && m_state.clock.now() - began < kLongestPass) {
+    const auto inForce = [this] {
+        return m_pass >= m_switchPass || gate().lastAnswer() - m_switchGo > kSamePass; // the pass before it has ended
+    };
+    while (!inForce() && m_state.clock.now() - began < kLongestPass) {
         co_await waitForPass();
-        const bool known = co_await readPass();
-        if (!known) {
-            co_return;
+        const bool events = gate().recentPause(m_state.clock.now()).has_value();
+        if (!events) {
+            const bool known = co_await readPass();
+            if (!known) {
+                co_return;
+            }
         }
     }
 }
--- a/fulmarlink/mutation.h
+++ b/fulmarlink/mutation.h
@@ -46,6 +46,10 @@
     IgnorePace, ///< the planner counts all ranks as equally fast
     LoseSlowRanks, ///< an owner forgets what it knows of slow ranks in its next record
     BlindToSilence, ///< a slow pass is only noticed when it has ended
+    IgnoreGroupPace, ///< a group whose passes take long gets work like the others
+    AskStillGroup, ///< a group that stands still gets work like the others
+    MixStarts, ///< counts of two starts of a runner are compared
+    ForgetMovedRank, ///< a report of an earlier epoch counts as the group's
     TrustForeignAnswer, ///< an answer that belongs to another request is taken
 };
 
--- a/fulmarlink/rankgroups.cpp
+++ b/fulmarlink/rankgroups.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <map>
 
+#include "fulmarlink/mutation.h"
+
 namespace fulmarlink
 {
 
@@ -19,7 +21,7 @@
     unsigned expected = 0;
     for (const unsigned index : group.members) {
         const RankReport &report = reports[index].report;
-        if (report.epoch != group.epoch) {
+        if (report.epoch != group.epoch && !mutated(Mutation::ForgetMovedRank)) {
             return GroupDefect::EpochsDiffer;
         }
         if (report.size != group.size) {
--- /dev/null
+++ b/testing/admission_test.cpp
@@ -0,0 +1,99 @@
+// Where a request goes in a pool with two rank groups. Load patterns: one group waits for a slow
+// rank; one stands still since a rank was lost; one refuses everything until it has formed again.
+
+#include "fulmarlink/admission.h"
+
+#include <gtest/gtest.h>
+
+#include "testing/harness/twogroups.h"
+
+namespace fulmarlink::testing
+{
+
+using namespace std::chrono_literals;
+
+TEST(Admission, GroupsThatAreAlikeShareTheWorkEvenly)
+{
+    TwoGroups groups;
+    groups.pace("north", 60ms);
+    groups.pace("south", 80ms); // both are on time by far
+    EXPECT_EQ(groups.share("north", 16), 8U);
+}
+
+// The load: one rank of twelve times its usual step makes its whole group late.
+TEST(Admission, AGroupWhosePassesTakeLongGetsAsMuchLessAndNotNothing)
+{
+    TwoGroups groups;
+    groups.pace("north", 252ms); // three times the easy pace of the other
+    groups.pace("south", 60ms);
+    const unsigned slow = groups.share("north", 12);
+    EXPECT_GE(slow, 2U);
+    EXPECT_LE(slow, 4U);
+}
+
+// The load: a rank is lost; its group moves nothing for a second and a half before it refuses.
+TEST(Admission, AGroupThatStandsStillGetsNothingWhileAnotherMoves)
+{
+    TwoGroups groups;
+    groups.pace("north", 60ms);
+    groups.pace("south", 60ms);
+    groups.open("n0");
+    groups.open("s0");
+    groups.clock.time += 800ms;
+    groups.pace("south", 60ms);
+    EXPECT_EQ(groups.share("north", 6), 0U);
+    groups.pace("north", 60ms);
+    EXPECT_GT(groups.share("north", 6), 0U);
+}
+
+TEST(Admission, AGroupThatWasIdleIsNotTakenForStill)
+{
+    TwoGroups groups;
+    groups.pace("north", 60ms);
+    groups.clock.time += 20s;
+    groups.open("n0");
+    groups.clock.time += 100ms;
+    EXPECT_FALSE(groups.state.standsStill("p", "north", groups.clock.now()));
+}
+
+TEST(Admission, AGroupThatRefusesEverythingIsTriedNowAndThenAndClosesOnlyItself)
+{
+    TwoGroups groups;
+    for (unsigned i = 0; i < PoolGate::kRefusalsToStall; ++i) {
+        groups.state.pool("p").gate("north").refusalSeen(groups.clock.now());
+    }
+    EXPECT_EQ(groups.share("north", 4), 0U);
+    groups.clock.time += PoolGate::kProbeInterval + 10ms;
+    EXPECT_EQ(groups.share("north", 4), 1U) << "one of them finds out whether it is back";
+}
+
+TEST(Admission, WhereAllGroupsRefuseTheCallerHearsTheSoonestReturn)
+{
+    TwoGroups groups;
+    for (const char *group : {"north", "south"}) {
+        for (unsigned i = 0; i < PoolGate::kRefusalsToStall; ++i) {
+            groups.state.pool("p").gate(group).refusalSeen(groups.clock.now());
+        }
+    }
+    double both = 0;
+    double one = 0;
+    for (unsigned i = 0; i < 200; ++i) {
+        const Admission admission = groups.ask();
+        ASSERT_FALSE(admission.target);
+        EXPECT_EQ(admission.decision.refusal, ResultCode::PoolStalled);
+        both += std::chrono::duration<double>(admission.decision.retryAfter).count();
+        Random random(i);
+        one += std::chrono::duration<double>(groups.state.pool("p").gate("north").decide({.runners = 2}, groups.clock.now(), random).retryAfter).count();
+    }
+    EXPECT_LT(both, one * 0.95);
+}
+
+TEST(Admission, WithoutARunnerItSaysSo)
+{
+    TwoGroups groups;
+    const Admission admission = groups.ask({"n0", "n1", "s0", "s1"});
+    EXPECT_FALSE(admission.target);
+    EXPECT_EQ(admission.decision.refusal, ResultCode::EmptyPool);
+}
+
+} // namespace fulmarlink::testing
--- a/testing/gatewaygroups_test.cpp
+++ b/testing/gatewaygroups_test.cpp
@@ -158,4 +158,36 @@
         4s));
 }
 
+// The load: ranks leave orders unanswered while a pass is held; all ranks wait for the answer that does not come.
+TEST_F(GatewayGroupsTest, AnOrderThatIsNotAnsweredWhileAPassIsHeldIsGivenUpSoon)
+{
+    PlatformClient client(context.get_executor(), clock, counters, {.store = settings.store});
+    always(a, RunnerAct::Silent);
+    TargetInfo target;
+    target.id = "i-a";
+    target.address = addresses["i-a"];
+    const auto took = [&](RankOrderKind kind) {
+        const TimePoint began = clock.now();
+        bool done = false;
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void> {
+                RankOrder order;
+                order.kind = kind;
+                const OrderResult result = co_await client.order(target, order);
+                EXPECT_EQ(result, OrderResult::Unknown);
+                done = true;
+            },
+            asio::detached);
+        runUntil(
+            [&done] {
+                return done;
+            },
+            2s);
+        return clock.now() - began;
+    };
+    EXPECT_LT(took(RankOrderKind::Arm), 100ms);
+    EXPECT_GT(took(RankOrderKind::Prepare), 100ms) << "a map takes time on a slow link";
+}
+
 } // namespace fulmarlink::testing
--- a/testing/gatewaymutation_test.cpp
+++ b/testing/gatewaymutation_test.cpp
@@ -6,16 +6,19 @@
 #include "fulmarlink/attemptpolicy.h"
 #include "fulmarlink/configstate.h"
 #include "fulmarlink/eventsplitter.h"
+#include "fulmarlink/expertload.h"
 #include "fulmarlink/expertplanner.h"
 #include "fulmarlink/gatewaystate.h"
 #include "fulmarlink/hostclock.h"
 #include "fulmarlink/leasekeeper.h"
 #include "fulmarlink/pacewatch.h"
 #include "fulmarlink/poolgate.h"
+#include "fulmarlink/rankgroups.h"
 #include "fulmarlink/targettable.h"
 #include "fulmarlink/windowbudget.h"
 #include "platform/platformprotocol.h"
 #include "testing/harness/mutation_on.h"
+#include "testing/harness/twogroups.h"
 
 namespace fulmarlink::testing
 {
@@ -167,6 +170,48 @@
     return watch.turned({pause, at(1000), target}, at(1100));
 }
 
+bool slowGroupsGetLess()
+{
+    TwoGroups groups;
+    groups.pace("north", std::chrono::milliseconds(252));
+    groups.pace("south", std::chrono::milliseconds(60));
+    return groups.share("north", 12) <= 4;
+}
+
+bool stillGroupsGetNothing()
+{
+    TwoGroups groups;
+    groups.open("n0");
+    groups.clock.time += std::chrono::seconds(1);
+    groups.open("s0");
+    return groups.share("north", 4) == 0;
+}
+
+bool countsOfTwoStartsAreApart()
+{
+    ExpertLoad load;
+    ExpertCountsRead read;
+    read.born = 1;
+    read.counts = {{100, 100}};
+    load.add("rank", read);
+    read.born = 2;
+    read.counts = {{400, 100}};
+    load.add("rank", read);
+    return load.gathered() == 0;
+}
+
+bool groupsOfTwoEpochsAreNotWhole()
+{
+    std::vector<RankReportRead> reports(2);
+    for (unsigned i = 0; i < reports.size(); ++i) {
+        reports[i].report.group = "g";
+        reports[i].report.rank = i;
+        reports[i].report.size = 2;
+        reports[i].report.epoch = i + 1;
+    }
+    return !formGroups(reports).front().whole();
+}
+
 struct Promise {
     const char *name;
     Mutation mutation;
@@ -205,6 +250,10 @@
                                            Promise{"IgnorePace", Mutation::IgnorePace, slowRanksAreEmptied},
                                            Promise{"LoseSlowRanks", Mutation::LoseSlowRanks, slowRanksAreMadeKnown},
                                            Promise{"BlindToSilence", Mutation::BlindToSilence, slowPassesAreNoticedEarly},
+                                           Promise{"IgnoreGroupPace", Mutation::IgnoreGroupPace, slowGroupsGetLess},
+                                           Promise{"AskStillGroup", Mutation::AskStillGroup, stillGroupsGetNothing},
+                                           Promise{"MixStarts", Mutation::MixStarts, countsOfTwoStartsAreApart},
+                                           Promise{"ForgetMovedRank", Mutation::ForgetMovedRank, groupsOfTwoEpochsAreNotWhole},
                                            Promise{"KeepTerm", Mutation::KeepTerm, aLapsedTermEnds}),
                          [](const ::testing::TestParamInfo<Promise> &info) {
                              return info.param.name;
--- a/testing/harness/fakegroup.cpp
+++ b/testing/harness/fakegroup.cpp
@@ -193,6 +193,7 @@
 
 asio::awaitable<ExpertCountsRead> FakeGroup::readExpertCounts(TargetInfo target, unsigned /*layerSets*/)
 {
+    ++countsRead;
     ExpertCountsRead read;
     read.epoch = kEpoch;
     read.pass = m_pass;
--- a/testing/harness/fakegroup.h
+++ b/testing/harness/fakegroup.h
@@ -54,6 +54,7 @@
     LeaseRecord lease;
     bool storeSilent = false; ///< writes of the lease are not answered for a second, and not done
     unsigned switches = 0;
+    unsigned countsRead = 0; ///< times that a rank's counts were read
     unsigned reportsWhileHeld = 0; ///< reports that were read while a pass was held back
     bool twoMaps = false; ///< a pass has begun with two maps: never
 
--- a/testing/mapkeeper_test.cpp
+++ b/testing/mapkeeper_test.cpp
@@ -121,6 +121,22 @@
     EXPECT_FALSE(group->twoMaps);
 }
 
+// Counts cost the group time: a turn may take two looks at the sampled ranks and a third where a pass was short, and the switch none.
+TEST_F(MapKeeperTest, ATurnIsAnsweredWithFewCounts)
+{
+    start({});
+    context.run_for(1500ms);
+    group->countsRead = 0;
+    group->turn(kOneHot);
+    ASSERT_TRUE(runUntil(
+        [this] {
+            return group->switches > 0;
+        },
+        10s));
+    EXPECT_LE(group->countsRead, 3 * settings.sampledRanks);
+    EXPECT_FALSE(group->twoMaps);
+}
+
 TEST_F(MapKeeperTest, ACopyThatIsLateHoldsTheGroupNoLongerThanItself)
 {
     FakeGroupOptions options;
