--- a/fulmarlink/groupwatch.cpp
+++ b/fulmarlink/groupwatch.cpp
@@ -156,8 +156,11 @@
 {
     const auto keeper = std::make_shared<MapKeeper>(m_context, m_state, m_platform, m_pool, group);
     m_keepers.emplace(group, keeper);
-    asio::co_spawn(m_context, keeper->run(), [keeper](std::exception_ptr) {
-    }); // it lives as long as its loop
+    asio::co_spawn(m_context, keeper->run(), [keeper](const std::exception_ptr &error) { // it lives as long as its loop
+        if (error) {
+            std::rethrow_exception(error);
+        }
+    });
 }
 
 } // namespace fulmarlink
