--- a/fulmarlink/grouplease.cpp
+++ b/fulmarlink/grouplease.cpp
@@ -53,12 +53,19 @@
 
 asio::awaitable<void> GroupLease::run()
 {
+    m_running = true;
     while (!m_state.drainBegan && !m_stopped) {
         if (!m_leaving) {
             co_await step();
         }
         co_await sleep(kRound);
     }
+    m_running = false;
+}
+
+bool GroupLease::ended() const
+{
+    return !m_running;
 }
 
 asio::awaitable<void> GroupLease::stop(Duration pause)
--- a/fulmarlink/grouplease.h
+++ b/fulmarlink/grouplease.h
@@ -28,6 +28,8 @@
     boost::asio::awaitable<void> run();
     /** Gives back a lease that is held, and ends run(). */
     boost::asio::awaitable<void> stop(Duration pause);
+    /** run() has ended, or was never begun: nothing uses this object any more. */
+    bool ended() const;
     /** Gives the lease back and does not take it again for @p pause. */
     boost::asio::awaitable<void> leave(Duration pause);
     /** How long this host lets others come first; see LeaseOptions. */
@@ -52,6 +54,7 @@
     bool m_calling = false; ///< a call to the store is unanswered
     bool m_leaving = false; ///< no step begins
     bool m_stopped = false;
+    bool m_running = false;
 };
 
 } // namespace fulmarlink
--- a/fulmarlink/mapkeeper.cpp
+++ b/fulmarlink/mapkeeper.cpp
@@ -99,7 +99,7 @@
 
 bool MapKeeper::ended() const
 {
-    return m_ended;
+    return m_ended && m_lease.ended();
 }
 
 bool MapKeeper::hasMembers()
--- a/fulmarlink/mapkeeper.h
+++ b/fulmarlink/mapkeeper.h
@@ -33,7 +33,7 @@
     MapKeeper(boost::asio::io_context &context, GatewayState &state, Platform &platform, std::string pool, std::string group);
 
     boost::asio::awaitable<void> run();
-    /** run() has ended. */
+    /** run() has ended, and all that it began: the object may go. */
     bool ended() const;
 
 private:
--- a/testing/mapkeeper_test.cpp
+++ b/testing/mapkeeper_test.cpp
@@ -121,6 +121,27 @@
     EXPECT_FALSE(group->twoMaps);
 }
 
+// A group that has gone takes its keeper along; nothing of it may run on.
+TEST_F(MapKeeperTest, AKeeperThatHasEndedIsUsedByNobody)
+{
+    start({});
+    ASSERT_TRUE(runUntil(
+        [this] {
+            return group->lease.holder == "entry";
+        },
+        5s));
+    EXPECT_FALSE(keeper->ended());
+    state->drainBegan = clock.now();
+    ASSERT_TRUE(runUntil(
+        [this] {
+            return keeper->ended();
+        },
+        5s));
+    EXPECT_TRUE(group->lease.holder.empty());
+    keeper.reset();
+    context.run_for(300ms);
+}
+
 // Counts cost the group time: a turn may take two looks at the sampled ranks and a third where a pass was short, and the switch none.
 TEST_F(MapKeeperTest, ATurnIsAnsweredWithFewCounts)
 {
