Lines on a request name its rank group

Cause: from a refused or late request's id nothing led to the group that was the cause: targets changed and only counts of groups were logged. Measured: the gateway's and docs' tests pass.

--- a/fulmarlink/gatewayanswer.cpp
+++ b/fulmarlink/gatewayanswer.cpp
@@ -90,6 +90,7 @@
                {{"id", m_facts.attemptId},
                 {"route", m_route.name},
                 {"pool", m_pool},
+                {"group", m_group},
                 {"customer", m_customer},
                 {"config", std::to_string(m_state.config.version())},
                 {"proof_ms", msText(m_state.config.age(now))},
--- a/fulmarlink/gatewayexchange.cpp
+++ b/fulmarlink/gatewayexchange.cpp
@@ -343,6 +343,7 @@
     logRequest("attempt-ended",
                {{"id", m_facts.attemptId},
                 {"target", target.id},
+                {"group", m_group},
                 {"reason", m_reason},
                 {"sends", std::to_string(m_sends)},
                 {"ran", std::to_string(m_ran)},
