--- a/standins/platformfleet.cpp
+++ b/standins/platformfleet.cpp
@@ -170,8 +170,8 @@
             {"version", "v1"},
             {"slots", slots},
             {"state", state},
-            {"cold_left_ms", 0},
-            {"call_seq", 0}};
+            {wire_names::kSlowStartLeftMs, 0},
+            {wire_names::kOrdersAccepted, 0}};
 }
 
 PlatformRunner::PlatformRunner(asio::io_context &context, std::string id)
