Lines on a request have its fingerprint, and attempts the life of their runner

Cause: the lines of the incident could not tell whether two attempts were the same request, since attempt ids differ and nothing else of a request stands in them; nor in which life of a runner an attempt had been. Ruled out: the headers of a request as part of the key; callers may change them between repeats.

--- a/fulmarlink/gatewayanswer.cpp
+++ b/fulmarlink/gatewayanswer.cpp
@@ -88,6 +88,7 @@
     const ResultInfo &info = resultInfo(m_gone ? ResultCode::CallerGone : m_result);
     logRequest("request",
                {{"id", m_facts.attemptId},
+                {"fingerprint", m_fingerprint.text()},
                 {"route", m_route.name},
                 {"pool", m_pool},
                 {"group", m_group},
--- a/fulmarlink/gatewayexchange.cpp
+++ b/fulmarlink/gatewayexchange.cpp
@@ -105,6 +105,12 @@
     return true;
 }
 
+RequestFingerprint GatewayExchange::fingerprint() const
+{
+    const auto target = m_request.target();
+    return fingerprintOf({m_customer, m_info.method, m_facts.host, {target.data(), target.size()}, m_request.body()});
+}
+
 const std::string &GatewayExchange::choosePool()
 {
     std::uint64_t total = 0;
@@ -154,6 +160,7 @@
     if (!checkKey()) {
         return false;
     }
+    m_fingerprint = fingerprint();
     m_pool = choosePool();
     PoolState &pool = m_state.pool(m_pool);
     pool.budget.countRequest(m_arrived);
@@ -342,7 +349,9 @@
     const TimePoint now = m_state.clock.now();
     logRequest("attempt-ended",
                {{"id", m_facts.attemptId},
+                {"fingerprint", m_fingerprint.text()},
                 {"target", target.id},
+                {"born", std::to_string(target.born)},
                 {"group", m_group},
                 {"reason", m_reason},
                 {"sends", std::to_string(m_sends)},
--- a/fulmarlink/gatewayexchange.h
+++ b/fulmarlink/gatewayexchange.h
@@ -14,6 +14,7 @@
 #include "fulmarlink/configstate.h"
 #include "fulmarlink/eventsplitter.h"
 #include "fulmarlink/gatewaystate.h"
+#include "fulmarlink/requestfingerprint.h"
 #include "fulmarlink/route.h"
 #include "fulmarlink/targetconnections.h"
 
@@ -50,6 +51,7 @@
 
     bool admit();
     bool checkKey();
+    RequestFingerprint fingerprint() const;
     double usualEvents() const;
     bool refuse(ResultCode code, Duration retryAfter = Duration(0));
     const std::string &choosePool();
@@ -94,6 +96,7 @@
     std::string m_group; ///< of ranks, to which the last attempt went
     std::optional<TargetInfo> m_admitted; ///< for the first attempt
     std::string m_customer;
+    RequestFingerprint m_fingerprint; ///< set once the customer is known
     TimePoint m_deadline{};
     ResultCode m_result = ResultCode::Ok;
     Duration m_retryAfter{0};
