A failing test: one request ends runner after runner

Three, five and sixteen gateways in one program, runners that end when they begin a certain request and are back after 0.35 s under the same id or a new one, in a group or in none; the request comes again one after the other, or at all hosts at once. What counts is what the runners saw.

--- a/standins/platformfleet.h
+++ b/standins/platformfleet.h
@@ -79,6 +79,7 @@
     Extra, ///< a second answer after the right one
     Garbage, ///< bytes that are no answer
     CutStream, ///< a stream that breaks off inside its third event
+    Crash, ///< runs it, and the whole runner ends
 };
 
 /** Stands in for one runner of the platform. For one thread. */
@@ -87,9 +88,16 @@
 public:
     PlatformRunner(boost::asio::io_context &context, std::string id);
 
-    HttpTarget listen();
+    /** @p port 0: any that is free. */
+    HttpTarget listen(std::uint16_t port = 0);
     const std::string &id() const;
+    /** The process is gone: connections are cut, new ones are refused. */
+    void end();
+    /** Begins another life; listen() follows. */
+    void setId(std::string id);
 
+    /** Called when a request has ended the runner. */
+    std::function<void()> crashed;
     /** Chooses what happens to a request; by default all are answered. */
     std::function<RunnerAct(const HttpRequest &)> act;
     std::chrono::milliseconds work{0}; ///< before an answer, and between events
@@ -108,14 +116,17 @@
     boost::asio::awaitable<bool> answer(boost::beast::tcp_stream &stream, const HttpRequest &request, RunnerAct act);
     /** True if the request was about the runner itself and is answered. */
     boost::asio::awaitable<bool> answerReport(boost::beast::tcp_stream &stream, const HttpRequest &request, bool &again);
+    boost::asio::awaitable<void> crash(boost::beast::tcp_stream &stream, const HttpRequest &request);
     boost::asio::awaitable<bool> stream(boost::beast::tcp_stream &stream, const HttpRequest &request, RunnerAct act);
     boost::asio::awaitable<bool> write(boost::beast::tcp_stream &stream, std::string text);
     boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
     std::string head(const HttpRequest &request, const std::string &status, const std::string &extra) const;
 
     boost::asio::io_context &m_context;
-    const std::string m_id;
+    std::string m_id;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    std::set<boost::beast::tcp_stream *> m_open; ///< connections of callers
+    unsigned m_lives = 0;
 };
 
 } // namespace fulmarlink::standins
--- /dev/null
+++ b/testing/harness/crashfleet.cpp
@@ -0,0 +1,282 @@
+#include "testing/harness/crashfleet.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/parse.hpp>
+
+#include "fulmarlink/log.h"
+#include "platform/platformclient.h"
+#include "platform/platformprotocol.h"
+#include "testing/harness/freeport.h"
+
+namespace fulmarlink::testing
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using namespace std::chrono_literals;
+using standins::PlatformRunner;
+using standins::RunnerAct;
+
+namespace
+{
+
+constexpr unsigned kSlots = 8;
+constexpr auto kReadyLimit = 6s;
+constexpr auto kAnswerLimit = 8s;
+
+/** A wide retry budget: it must not be what keeps a request from runners here. */
+json::value configuration(bool group)
+{
+    json::value result = json::parse(R"({"version":3,
+"routes":[
+ {"name":"once","host":"h.example","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":2000,"slo_ms":200,"priority":1,"service":"plain","max_attempts":3},
+ {"name":"again","host":"h.example","path_prefix":"/again/","kind":"idempotent","timeout_ms":2000,"slo_ms":200,"priority":1,"service":"plain","max_attempts":3},
+ {"name":"stream","host":"h.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":4000,"slo_ms":500,"gap_target_ms":120,"resumable":true,"priority":1,"service":"plain","max_attempts":3}],
+"services":[{"name":"plain","max_conns":1000}],
+"tenants":[{"name":"customer","api_keys":["key"]},{"name":"other","api_keys":["other-key"]}]})");
+    if (group) {
+        result.at("services").at(0).as_object()["engine"] = json::object{{"slots", kSlots}, {"sets", 1}, {"experts", 4}, {"placements", 2}};
+    }
+    return result;
+}
+
+} // namespace
+
+CrashFleet::CrashFleet(CrashFleetOptions options)
+    : store(context)
+    , m_options(options)
+    , m_up(options.runners, true)
+    , m_killer(options.runners)
+    , m_hosts(options.gateways)
+{
+    startLogging("off");
+    const HttpTarget address = store.listen();
+    store.set("config", "main", configuration(options.group));
+    for (unsigned i = 0; i < options.runners; ++i) {
+        m_runners.push_back(std::make_unique<PlatformRunner>(context, "i-" + std::to_string(i)));
+        PlatformRunner &runner = *m_runners.back();
+        runner.work = options.work;
+        runner.act = [this, i](const HttpRequest &request) {
+            return choose(i, request);
+        };
+        runner.crashed = [this, i] {
+            m_crashes[m_killer[i]].push_back(std::chrono::steady_clock::now());
+            ended(i);
+        };
+        if (options.group) {
+            runner.report["group"] = json::object{{"name", "g"}, {"epoch", 1}, {"rank", i}, {"size", options.runners}, {"state", "open"}};
+        }
+        m_addresses.push_back(runner.listen(freePort()));
+        list(i);
+    }
+    for (unsigned i = 0; i < options.gateways; ++i) {
+        storeProxies.push_back(std::make_unique<LoopbackProxy>(context, address));
+        GatewaySettings &settings = m_hosts[i].settings;
+        settings.host = "entry-" + std::to_string(i);
+        settings.zone = "z";
+        settings.callers = {"127.0.0.1", freePort()};
+        settings.readiness = {"127.0.0.1", freePort()};
+        settings.store = storeProxies.back()->listen();
+        settings.leavingBound = 500ms;
+        settings.retrySlack = 10'000;
+    }
+}
+
+CrashFleet::~CrashFleet() = default;
+
+void CrashFleet::list(unsigned runner)
+{
+    json::object entry = standins::runnerEntry("plain", m_addresses[runner], kSlots);
+    entry["born"] = m_born + ++m_lives;
+    store.set("servers", m_runners[runner]->id(), entry);
+}
+
+RunnerAct CrashFleet::choose(unsigned runner, const HttpRequest &request)
+{
+    const std::string path(request.target());
+    m_arrivals[path].push_back(std::chrono::steady_clock::now());
+    if (path.find("crash") == std::string::npos) {
+        return RunnerAct::Answer;
+    }
+    m_killer[runner] = path;
+    return RunnerAct::Crash;
+}
+
+void CrashFleet::crashRunner(unsigned index)
+{
+    m_runners[index]->end();
+    ended(index);
+}
+
+void CrashFleet::ended(unsigned runner)
+{
+    m_up[runner] = false;
+    asio::co_spawn(context, comeBack(runner), asio::detached);
+}
+
+asio::awaitable<void> CrashFleet::comeBack(unsigned runner)
+{
+    boost::system::error_code ignored; // the timers are not cancelled
+    const std::string before = m_runners[runner]->id();
+    asio::steady_timer timer(context, m_options.back);
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    if (!m_options.sameId) {
+        m_runners[runner]->setId(before + "x");
+    }
+    m_addresses[runner] = m_runners[runner]->listen(freePort());
+    m_up[runner] = true;
+    list(runner);
+    if (!m_options.sameId) {
+        timer.expires_after(std::max(m_options.lapse - m_options.back, 0ms));
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        store.remove("servers", before);
+    }
+}
+
+bool CrashFleet::start()
+{
+    for (unsigned i = 0; i < m_options.gateways; ++i) {
+        startGateway(i);
+    }
+    return runUntil(
+        [this] {
+            return std::ranges::all_of(m_hosts, [](const Host &host) {
+                return host.gateway->ready();
+            });
+        },
+        kReadyLimit);
+}
+
+void CrashFleet::startGateway(unsigned index)
+{
+    Host &host = m_hosts[index];
+    host.counters = std::make_unique<Counters>();
+    host.context = std::make_unique<asio::io_context>(1);
+    PlatformClientOptions options;
+    options.store = host.settings.store;
+    GatewayEdges edges;
+    edges.protocol = std::make_unique<PlatformProtocol>();
+    edges.platform = std::make_unique<PlatformClient>(host.context->get_executor(), m_clock, *host.counters, options);
+    host.gateway = std::make_unique<Gateway>(*host.context, host.settings, *host.counters, std::move(edges));
+    host.gateway->start();
+}
+
+void CrashFleet::killGateway(unsigned index)
+{
+    Host &host = m_hosts[index];
+    host.gateway.reset();
+    host.context.reset();
+}
+
+HttpRequest CrashFleet::request(const std::string &path, const std::string &body, const std::string &key)
+{
+    HttpRequest result(http::verb::post, path, 11);
+    result.set(http::field::host, "h.example");
+    result.set("Attempt-Id", "attempt-" + std::to_string(++m_attempts));
+    result.set("Deadline-Ms", "5000");
+    result.set(http::field::authorization, "Token " + key);
+    result.body() = body;
+    result.prepare_payload();
+    return result;
+}
+
+std::shared_ptr<Answer> CrashFleet::send(unsigned gateway, HttpRequest message, std::shared_ptr<bool> done)
+{
+    auto answer = std::make_shared<Answer>();
+    asio::co_spawn(context, callOnce(context, m_hosts[gateway].settings.callers, std::move(message), answer, std::move(done)), asio::detached);
+    return answer;
+}
+
+Answer CrashFleet::ask(unsigned gateway, HttpRequest message)
+{
+    const auto done = std::make_shared<bool>(false);
+    const auto answer = send(gateway, std::move(message), done);
+    runUntil(
+        [&done] {
+            return *done;
+        },
+        kAnswerLimit);
+    return *answer;
+}
+
+/** One turn of every context. */
+void CrashFleet::poll()
+{
+    context.run_for(1ms);
+    for (const Host &host : m_hosts) {
+        if (host.context) {
+            host.context->poll();
+        }
+    }
+}
+
+void CrashFleet::run(std::chrono::milliseconds time)
+{
+    runUntil(
+        [] {
+            return false;
+        },
+        time);
+}
+
+bool CrashFleet::runUntilUp(unsigned runners)
+{
+    return runUntil(
+        [this, runners] {
+            return up() >= runners;
+        },
+        kReadyLimit);
+}
+
+unsigned CrashFleet::up() const
+{
+    return static_cast<unsigned>(std::ranges::count(m_up, true));
+}
+
+std::size_t CrashFleet::crashes(const std::string &path) const
+{
+    const auto it = m_crashes.find(path);
+    return it == m_crashes.end() ? 0 : it->second.size();
+}
+
+std::size_t CrashFleet::arrivals(const std::string &path, Time after) const
+{
+    const auto it = m_arrivals.find(path);
+    if (it == m_arrivals.end()) {
+        return 0;
+    }
+    return static_cast<std::size_t>(std::ranges::count_if(it->second, [after](Time time) {
+        return time > after;
+    }));
+}
+
+CrashFleet::Time CrashFleet::crashedAt(const std::string &path, std::size_t number) const
+{
+    return m_crashes.at(path).at(number - 1);
+}
+
+bool CrashFleet::ran(const std::string &attemptId) const
+{
+    return std::ranges::any_of(m_runners, [&](const auto &runner) {
+        return std::ranges::find(runner->ran, attemptId) != runner->ran.end();
+    });
+}
+
+std::uint64_t CrashFleet::count(const std::string &counter) const
+{
+    std::uint64_t sum = 0;
+    for (const Host &host : m_hosts) {
+        const std::string text = host.counters ? '\n' + host.counters->text() : "";
+        const std::size_t at = text.find('\n' + counter + ' ');
+        sum += at == std::string::npos ? 0 : std::stoull(text.substr(at + counter.size() + 2));
+    }
+    return sum;
+}
+
+} // namespace fulmarlink::testing
