A request under which runners ended is known to all hosts and held back

Cause: what a host learned from a runner's end stayed in the attempt. The attempt went on to the next runner, and each repeat of its caller reached a host that knew nothing. Ruled out: that runners end by themselves. In the failing test they end under one request only, and the same course follows. Change: an attempt whose connection breaks off and whose runner refuses connections is not sent on if its answer had not begun. When a runner is found to have ended (all attempts broken off and connections refused twice within 0.1 s, or a new start in its entry), the requests in progress there go into the store as one record a host, which all hosts wait for (0.4 calls a second where nothing happens). What ends well anywhere is cleared. Records are a set that only grows, so that no order, repeat or lost answer matters. Ways weighed: links between hosts (a second protocol, lost with a host's death), writing on the request's path (a call for each request), one counter object for each request (conflicts), status of the runner's own entry (gone with it).

--- a/fulmarlink/attemptpolicy.cpp
+++ b/fulmarlink/attemptpolicy.cpp
@@ -16,6 +16,9 @@
     if (state.ran >= state.maxAttempts) {
         return false;
     }
+    if (state.runnerEnded && !mutated(Mutation::ResendAfterCrash)) {
+        return false;
+    }
     return state.answerBegun ? state.resumable : state.repeatable || mutated(Mutation::RepeatAfterRun);
 }
 
--- a/fulmarlink/attemptpolicy.h
+++ b/fulmarlink/attemptpolicy.h
@@ -24,6 +24,11 @@
     unsigned sends = 0; ///< sends so far, refused ones included
     unsigned maxAttempts = 1; ///< runners that may run it
     bool timeLeft = true; ///< enough for another try
+    /**
+     * The runner ended before the first part of its answer came. The request may be the cause, and would end the next runner too, with all that is
+     * in progress there and, in a rank group, everybody's pass; an innocent one costs its caller a try of its own.
+     */
+    bool runnerEnded = false;
 };
 
 /** What happens next. */
--- a/fulmarlink/gateway.cpp
+++ b/fulmarlink/gateway.cpp
@@ -56,6 +56,7 @@
     , m_edges(std::move(edges))
     , m_state(std::move(settings), m_clock, m_counters, *m_edges.protocol)
     , m_connections(context.get_executor(), m_clock, m_counters)
+    , m_crashWatch(context, m_state, *m_edges.platform)
     , m_server(context.get_executor(), m_state)
     , m_configVersion(m_counters.registerCounter("fulmarlink_rules_version"))
     , m_proofAge(m_counters.registerCounter("fulmarlink_configuration_proof_age_ms"))
@@ -63,13 +64,14 @@
     , m_staleConfigurations(m_counters.registerCounter("fulmarlink_stale_configurations_total"))
 {
     m_state.connections = &m_connections;
+    m_state.crashWatch = &m_crashWatch;
 }
 
 Gateway::~Gateway() = default;
 
 bool Gateway::ready() const
 {
-    return !m_state.drainBegan && m_targetsKnown && m_state.config.active() && !m_state.proofAges(m_clock.now());
+    return !m_state.drainBegan && m_targetsKnown && m_state.crashesKnown && m_state.config.active() && !m_state.proofAges(m_clock.now());
 }
 
 void Gateway::startHttp()
@@ -95,6 +97,8 @@
     asio::co_spawn(m_context, targetsLoop(), asio::detached);
     asio::co_spawn(m_context, entriesLoop(), asio::detached);
     asio::co_spawn(m_context, housekeeping(), asio::detached);
+    asio::co_spawn(m_context, m_crashWatch.run(), asio::detached);
+    asio::co_spawn(m_context, m_crashWatch.publish(), asio::detached);
     logChange("started",
               {{"host", m_state.settings.host},
                {"zone", m_state.settings.zone},
@@ -212,6 +216,8 @@
     m_targetsKnown = true;
     for (const std::string &id : changes.restarted) {
         m_connections.drop(id);
+        const TargetInfo *target = m_state.targets.find(id);
+        m_crashWatch.restarted(id, target == nullptr ? 0 : target->born);
     }
     if (changes.added.empty() && changes.leaving.empty() && changes.gone.empty() && changes.restarted.empty()) {
         return;
--- a/fulmarlink/gateway.h
+++ b/fulmarlink/gateway.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "fulmarlink/counters.h"
+#include "fulmarlink/crashwatch.h"
 #include "fulmarlink/gatewayserver.h"
 #include "fulmarlink/gatewaystate.h"
 #include "fulmarlink/hostclock.h"
@@ -72,6 +73,7 @@
     GatewayEdges m_edges;
     GatewayState m_state;
     TargetConnections m_connections;
+    CrashWatch m_crashWatch;
     GatewayServer m_server;
     std::shared_ptr<HttpServer> m_readiness;
     std::shared_ptr<HttpServer> m_metrics;
--- a/fulmarlink/gatewayanswer.cpp
+++ b/fulmarlink/gatewayanswer.cpp
@@ -30,6 +30,9 @@
     if (timeLeft() <= kLeastTimeToSend) {
         return ResultCode::DeadlineAfterDispatch;
     }
+    if (m_runnerEnded) {
+        return ResultCode::RunnerEnded;
+    }
     return m_reason == "invalid" || m_reason.starts_with("foreign") ? ResultCode::AnswerInvalid : ResultCode::EngineBroke;
 }
 
@@ -40,6 +43,11 @@
     case NextStep::Again:
         break;
     case NextStep::RefuseNotRun:
+        if (m_heldBack) {
+            m_result = ResultCode::RequestEndsRunners;
+            co_await writeOwn(m_result, m_retryAfter);
+            break;
+        }
         m_result = m_sends > 0 ? ResultCode::RunnerBusy : ResultCode::NoRunnerReachable;
         m_retryAfter = Duration(kRefusedRetry.count() / 2 + static_cast<Duration::rep>(m_state.random() % static_cast<std::uint64_t>(kRefusedRetry.count())));
         co_await writeOwn(m_result, m_retryAfter);
--- a/fulmarlink/gatewayexchange.cpp
+++ b/fulmarlink/gatewayexchange.cpp
@@ -24,6 +24,7 @@
 #include <charconv>
 #include <utility>
 
+#include "fulmarlink/crashwatch.h"
 #include "fulmarlink/log.h"
 #include "fulmarlink/mutation.h"
 #include "fulmarlink/ruleset.h"
@@ -111,6 +112,43 @@
     return fingerprintOf({m_customer, m_info.method, m_facts.host, {target.data(), target.size()}, m_request.body()});
 }
 
+CrashSuspect GatewayExchange::suspect() const
+{
+    return {m_fingerprint, m_customer, m_route.name, false};
+}
+
+bool GatewayExchange::checkCrashes()
+{
+    const CrashStanding standing = m_state.crashes.standing(m_fingerprint, m_arrived);
+    m_trial = standing.verdict == CrashVerdict::TrialDue;
+    if (standing.verdict != CrashVerdict::HeldBack && standing.verdict != CrashVerdict::Banned) {
+        return true;
+    }
+    m_reason = std::string(crashVerdictName(standing.verdict)) + " crashes " + std::to_string(standing.crashes);
+    return refuse(ResultCode::RequestEndsRunners, standing.retryAfter);
+}
+
+/** Whether runners have ended under it at other hosts since it was taken here. */
+bool GatewayExchange::heldBack()
+{
+    const CrashStanding standing = m_state.crashes.standing(m_fingerprint, m_state.clock.now());
+    const bool held = standing.verdict == CrashVerdict::HeldBack || standing.verdict == CrashVerdict::TrialDue;
+    m_heldBack = standing.verdict == CrashVerdict::Banned || (held && !m_trial);
+    m_retryAfter = m_heldBack ? standing.retryAfter : m_retryAfter;
+    return m_heldBack;
+}
+
+asio::awaitable<bool> GatewayExchange::claimTrial()
+{
+    const bool claimed = co_await m_state.crashWatch->claimTrial(suspect());
+    logRequest("trial", {{"id", m_facts.attemptId}, {"fingerprint", m_fingerprint.text()}, {"claimed", claimed ? "true" : "false"}});
+    if (claimed) {
+        co_return true;
+    }
+    m_reason = "trial at another host";
+    co_return refuse(ResultCode::RequestEndsRunners, CrashPolicy().holdFor);
+}
+
 const std::string &GatewayExchange::choosePool()
 {
     std::uint64_t total = 0;
@@ -146,7 +184,7 @@
         return refuse(ResultCode::ShuttingDown, kDrainRetry);
     }
     m_active = m_state.config.active();
-    if (!m_active) {
+    if (!m_active || !m_state.crashesKnown) {
         return refuse(ResultCode::NoConfiguration, kUnprovedRetry);
     }
     m_route = m_active->rules->route(m_info);
@@ -162,6 +200,9 @@
     }
     m_fingerprint = fingerprint();
     m_pool = choosePool();
+    if (!checkCrashes()) {
+        return false;
+    }
     PoolState &pool = m_state.pool(m_pool);
     pool.budget.countRequest(m_arrived);
     const RequestNeed need{.events = usualEvents(), .timeLeft = m_deadline - m_arrived};
@@ -178,7 +219,11 @@
 asio::awaitable<bool> GatewayExchange::run()
 {
     ++m_state.exchanges;
-    if (admit()) {
+    bool admitted = admit();
+    if (admitted && m_trial) {
+        admitted = co_await claimTrial();
+    }
+    if (admitted) {
         co_await serve();
     } else {
         co_await writeOwn(m_result, m_retryAfter);
@@ -209,13 +254,18 @@
     state.sends = m_sends;
     state.maxAttempts = m_route.maxAttempts;
     state.timeLeft = timeLeft() > kLeastTimeToSend;
+    state.runnerEnded = m_runnerEnded;
     return state;
 }
 
-/** Whether the configuration of now still lets this request go to its pool. */
+/** Whether what is known now still lets this request go to its pool. */
 bool GatewayExchange::mayRetry()
 {
     const TimePoint now = m_state.clock.now();
+    if (heldBack()) {
+        m_reason = "held-back";
+        return false;
+    }
     const auto active = m_state.config.active();
     if (active != m_active) {
         const Route route = active->rules->route(m_info);
@@ -322,6 +372,10 @@
         ++m_sends;
         ++m_ran;
         end = AttemptEnd::Broken;
+        m_cut = false;
+        m_runnerEnded = false;
+        m_eventsBefore = m_events.events();
+        m_attempt = m_state.attempts.sent({target.id, target.born}, suspect());
         const bool written = co_await write(*connection, target);
         if (written) {
             end = co_await readAnswer(*connection, target);
@@ -330,12 +384,28 @@
         if (end == AttemptEnd::Refused) {
             --m_ran;
         }
+        co_await noteEnd(target, end);
     }
     m_state.targets.ended(target.id);
     noteAttempt(target, end, began);
     co_return end;
 }
 
+/** What the attempt's end tells of the request and of its runner. */
+asio::awaitable<void> GatewayExchange::noteEnd(const TargetInfo &target, AttemptEnd end)
+{
+    const TimePoint now = m_state.clock.now();
+    const bool broken = end == AttemptEnd::Broken && !m_gone;
+    m_state.attempts.ended(m_attempt, broken ? RunnerAttempts::End::BrokenOff : RunnerAttempts::End::Known, now);
+    if (end == AttemptEnd::Answered || end == AttemptEnd::Failed) {
+        m_state.crashes.endedWell(m_fingerprint, now);
+    }
+    if (broken && m_cut) {
+        const bool ended = co_await m_state.crashWatch->seemsEnded(target);
+        m_runnerEnded = ended && m_events.events() == m_eventsBefore;
+    }
+}
+
 void GatewayExchange::noteAttempt(const TargetInfo &target, AttemptEnd end, TimePoint began)
 {
     m_targets += (m_targets.empty() ? "" : ",") + target.id;
--- a/fulmarlink/gatewayexchange.h
+++ b/fulmarlink/gatewayexchange.h
@@ -50,6 +50,11 @@
     using AnswerParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     bool admit();
+    bool checkCrashes();
+    bool heldBack();
+    boost::asio::awaitable<bool> claimTrial();
+    boost::asio::awaitable<void> noteEnd(const TargetInfo &target, AttemptEnd end);
+    CrashSuspect suspect() const;
     bool checkKey();
     RequestFingerprint fingerprint() const;
     double usualEvents() const;
@@ -111,6 +116,12 @@
     bool m_gone = false;
     bool m_broken = false; ///< the caller's connection can't be used any more
     bool m_answerBegun = false;
+    bool m_trial = false; ///< it is held back, and this host has a try
+    bool m_heldBack = false; ///< since it was taken
+    bool m_cut = false; ///< the runner or the way to it broke the last attempt's connection
+    bool m_runnerEnded = false; ///< of the last attempt, before the first part of its answer
+    RunnerAttempts::Token m_attempt = 0; ///< the last one
+    std::uint64_t m_eventsBefore = 0; ///< of a stream, from earlier attempts
     unsigned m_status = 0; ///< given to the caller; 0: nothing
     HttpResponse m_failure; ///< the last failure that a runner gave, for the caller
     EventSplitter m_events;
--- a/fulmarlink/gatewayrelay.cpp
+++ b/fulmarlink/gatewayrelay.cpp
@@ -62,6 +62,7 @@
     co_await http::async_write(connection.stream, request, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         m_reason = "write: " + error.message();
+        m_cut = error != boost::beast::error::timeout;
         m_state.targets.failed(target.id, m_state.clock.now());
     }
     co_return !error;
@@ -123,6 +124,7 @@
         if (error) {
             const bool silent = error == boost::beast::error::timeout;
             m_reason = silent ? "silent" : "head: " + error.message();
+            m_cut = !silent;
             if (!m_gone) {
                 m_state.targets.failed(target.id, m_state.clock.now());
             }
@@ -182,6 +184,7 @@
     const boost::system::error_code error = co_await readBody(connection, parser, body);
     if (error) {
         m_reason = "body: " + error.message();
+        m_cut = error != boost::beast::error::timeout;
         co_return AttemptEnd::Broken;
     }
     if (parser.keep_alive() && m_connection) {
@@ -240,6 +243,7 @@
         }
         if (error || m_events.tooLong()) {
             m_reason = "stream: " + error.message();
+            m_cut = error && error != boost::beast::error::timeout;
             m_events.reset();
             co_return AttemptEnd::Broken;
         }
@@ -286,6 +290,7 @@
     PoolGate &gate = this->gate();
     gate.answerSeen(now);
     m_state.targets.heard(m_target, now);
+    m_state.attempts.answering(m_attempt);
     const bool first = m_firstEvent == TimePoint{};
     const Duration pause = first ? now - m_arrived : now - m_lastEvent;
     const Duration target = first ? m_route.objective : m_route.gapTarget;
--- a/fulmarlink/gatewaystate.h
+++ b/fulmarlink/gatewaystate.h
@@ -9,9 +9,11 @@
 #include "fulmarlink/clock.h"
 #include "fulmarlink/configstate.h"
 #include "fulmarlink/counters.h"
+#include "fulmarlink/crashhistory.h"
 #include "fulmarlink/gatewaysettings.h"
 #include "fulmarlink/latencyhistogram.h"
 #include "fulmarlink/poolgate.h"
+#include "fulmarlink/runnerattempts.h"
 #include "fulmarlink/targettable.h"
 #include "fulmarlink/windowbudget.h"
 
@@ -19,6 +21,7 @@
 {
 
 class CallerProtocol;
+class CrashWatch;
 class TargetConnections;
 
 /** One pool as this entry sees it. */
@@ -60,6 +63,10 @@
     ConfigState config;
     TargetTable targets;
     TargetConnections *connections = nullptr;
+    RunnerAttempts attempts;
+    CrashHistory crashes; ///< of requests under which runners ended, as all hosts know it
+    CrashWatch *crashWatch = nullptr;
+    bool crashesKnown = false; ///< what other hosts had written before this process started has been read; no request is taken before
     std::map<std::string, PoolState> pools;
     Random random;
     LatencyHistogram requestDuration; ///< from the last byte of a request to the end of its answer
--- a/fulmarlink/mutation.h
+++ b/fulmarlink/mutation.h
@@ -51,6 +51,10 @@
     TrustColdExperts, ///< experts that are cold now stay on a slow rank
     MixStarts, ///< counts of two starts of a runner are compared
     ForgetMovedRank, ///< a report of an earlier epoch counts as the group's
+    NeverBan, ///< a request that has ended three runners is only held back for a while
+    CountReports, ///< one runner's end counts once for each host that tells of it
+    ClearNobody, ///< a request that ended well is still suspected
+    ResendAfterCrash, ///< a request whose runner ended is sent to the next one
     TrustForeignAnswer, ///< an answer that belongs to another request is taken
 };
 
--- a/fulmarlink/platform.h
+++ b/fulmarlink/platform.h
@@ -9,6 +9,7 @@
 
 #include "fulmarlink/clock.h"
 #include "fulmarlink/configuration.h"
+#include "fulmarlink/crashrecord.h"
 #include "fulmarlink/rankorders.h"
 #include "fulmarlink/targettable.h"
 
@@ -47,12 +48,19 @@
     LeaseRecord record;
 };
 
+/** Records of all hosts on runners that ended. */
+struct CrashRecordsRead {
+    std::error_code error; ///< StoreHistoryGone: read all of them anew
+    std::uint64_t revision = 0; ///< to go on from
+    std::vector<CrashRecord> records; ///< those that could not be understood are left out
+};
+
 /**
  * What the product needs from the platform on which it runs. Implementations only
  * translate; they decide nothing and keep no state but connections and what was read last.
  *
  * Errors: StoreUnavailable (nothing was done), StoreAnswerLost (a write may have taken
- * effect, now or later), VersionConflict, ObjectNotFound, ConfigurationInvalid.
+ * effect, now or later), VersionConflict, ObjectNotFound, StoreHistoryGone, ConfigurationInvalid.
  */
 class Platform
 {
@@ -71,6 +79,14 @@
     /** Writes if the record still has @p record.revision; 0 demands that there is none. */
     virtual boost::asio::awaitable<LeaseRead> writeLease(std::string group, LeaseRecord record) = 0;
 
+    /** Linearizable. */
+    virtual boost::asio::awaitable<CrashRecordsRead> readCrashRecords() = 0;
+    /** Those that have come since @p revision, as soon as there are any, or none after @p wait. A platform may leave out some: read all now and then. */
+    virtual boost::asio::awaitable<CrashRecordsRead> awaitCrashRecords(std::uint64_t revision, std::chrono::milliseconds wait) = 0;
+    /** VersionConflict: a record of that name is there already. */
+    virtual boost::asio::awaitable<std::error_code> writeCrashRecord(CrashRecord record) = 0;
+    virtual boost::asio::awaitable<std::error_code> removeCrashRecord(std::string name) = 0;
+
     virtual boost::asio::awaitable<RankReportRead> readRankReport(TargetInfo target) = 0;
     virtual boost::asio::awaitable<ExpertCountsRead> readExpertCounts(TargetInfo target, unsigned layerSets) = 0;
     virtual boost::asio::awaitable<RankPlacementRead> readRankPlacement(TargetInfo target) = 0;
--- a/fulmarlink/resultcode.cpp
+++ b/fulmarlink/resultcode.cpp
@@ -53,6 +53,12 @@
     {ResultCode::PoolOverloaded, "pool-overloaded", 503, NotRun, true, "Every runner of the pool has as many requests as it can answer in time."},
     {ResultCode::PoolStalled, "pool-stalled", 503, NotRun, true, "The pool's runners refuse all work, as a group does that has lost a rank."},
     {ResultCode::PoolTooSlow, "pool-too-slow", 503, NotRun, true, "The pool's passes take so long that a usual stream could not end before its deadline."},
+    {ResultCode::RequestEndsRunners,
+     "request-ends-runners",
+     503,
+     NotRun,
+     true,
+     "This attempt was not run: runners ended while they ran the same request before. It is held back; don't repeat it soon."},
     {ResultCode::LinkLost, "link-lost", 502, Unknown, false, "The link to the agent broke and the outcome could not be learned before the deadline."},
     {ResultCode::RunnerReplaced, "runner-replaced", 502, Unknown, false, "The agent that took the request is gone; it may have run."},
     {ResultCode::DeadlineAfterDispatch, "deadline-after-dispatch", 504, Unknown, false, "The deadline passed after the request was handed over."},
@@ -71,6 +77,12 @@
      false,
      "The runner ran the request and answered with a failure of its own, which the caller gets."},
     {ResultCode::AnswerInvalid, "answer-invalid", 502, Unknown, false, "What the runner sent is no answer to this request."},
+    {ResultCode::RunnerEnded,
+     "runner-ended",
+     502,
+     Unknown,
+     false,
+     "The runner ended before it gave the first part of the answer; the request is not sent to another one, since it may be the cause."},
     {ResultCode::FrameTooLarge, "frame-too-large", 0, NotARequest, false, "A frame is larger than kMaxFrameBytes; the link is closed."},
     {ResultCode::FrameInvalid, "frame-invalid", 0, NotARequest, false, "A frame does not verify; the link is closed."},
     {ResultCode::ProtocolMajorDiffers, "protocol-major-differs", 0, NotARequest, false, "The peer speaks another major version; the link is closed."},
@@ -89,6 +101,7 @@
      NotARequest,
      false,
      "The operator's configuration in the store can't be understood; the last good one stays in force."},
+    {ResultCode::StoreHistoryGone, "store-history-gone", 0, NotARequest, false, "The store no longer has the changes that were asked for; all is read anew."},
 });
 
 static_assert(std::ranges::is_sorted(kTable, {}, &ResultInfo::code));
--- a/fulmarlink/resultcode.h
+++ b/fulmarlink/resultcode.h
@@ -57,6 +57,7 @@
     PoolOverloaded = 132,
     PoolStalled = 133,
     PoolTooSlow = 134,
+    RequestEndsRunners = 135,
 
     // The outcome is unknown, or the request ran and its answer can't be given.
     LinkLost = 201,
@@ -72,6 +73,7 @@
     CallerGone = 211,
     RunnerFailed = 212,
     AnswerInvalid = 213,
+    RunnerEnded = 214,
 
     // Links between fulmarlink's own processes.
     FrameTooLarge = 301,
@@ -89,6 +91,7 @@
     VersionNotNewer = 406,
     ObjectNotFound = 407,
     ConfigurationInvalid = 408,
+    StoreHistoryGone = 409,
 };
 
 /** What a result code says about the request it is given for. */
--- /dev/null
+++ b/fulmarlink/runnerattempts.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "fulmarlink/clock.h"
+#include "fulmarlink/crashrecord.h"
+
+namespace fulmarlink
+{
+
+/**
+ * This host's attempts at each life of a runner: those in progress, and those that broke
+ * off a short while ago. When the runner turns out to have ended, they are the suspects.
+ *
+ * Contract: pure; not thread-safe.
+ */
+class RunnerAttempts
+{
+public:
+    using Token = std::uint64_t;
+    /** A runner's end is noticed at the latest when its entry lapses or shows a new start: three heartbeats of 1.2 s and one reading of the list. */
+    static constexpr Duration kRemember = std::chrono::seconds(5);
+
+    /** How an attempt ended. */
+    enum class End : std::uint8_t {
+        Known, ///< answered, refused, or its caller left: the runner's end later is none of its doing
+        BrokenOff, ///< without a word of the runner
+    };
+
+    Token sent(const TargetLife &life, CrashSuspect suspect);
+    /** The first event of its answer has come. */
+    void answering(Token token);
+    void ended(Token token, End end, TimePoint now);
+
+    bool anyInProgress(const TargetLife &life) const;
+    /** Those in progress at @p life and those that broke off there lately; they are given once. */
+    std::vector<CrashSuspect> takeSuspects(const TargetLife &life, TimePoint now);
+    /** Lives of the runner @p id at which attempts are in progress or broke off lately. */
+    std::vector<TargetLife> livesOf(const std::string &id, TimePoint now);
+
+private:
+    struct Attempt {
+        TargetLife life;
+        CrashSuspect suspect;
+        bool inProgress = true;
+        bool taken = false; ///< counted at the end of its runner
+        TimePoint endedAt{};
+    };
+
+    void forgetOld(TimePoint now);
+
+    std::map<Token, Attempt> m_attempts; ///< some 60 on a busy host
+    Token m_last = 0;
+};
+
+} // namespace fulmarlink
--- a/standins/platformfleet.cpp
+++ b/standins/platformfleet.cpp
@@ -31,6 +31,8 @@
 constexpr unsigned kCreated = 201;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kConflict = 409;
+constexpr unsigned kGone = 410;
+constexpr auto kWatchStep = std::chrono::milliseconds(4); ///< how often a watch looks for changes
 
 HttpResponse jsonResponse(unsigned status, const json::value &value)
 {
@@ -47,6 +49,13 @@
     return std::string(name) + ": " + std::string(value) + "\r\n";
 }
 
+/** What follows @p name in a query; 0 if it is not there. */
+std::uint64_t numberIn(const std::string &query, const std::string &name)
+{
+    const std::size_t at = query.find(name);
+    return at == std::string::npos ? 0 : std::strtoull(query.c_str() + at + name.size(), nullptr, 10);
+}
+
 /** A whole answer to a request that was never made. */
 std::string strayAnswer()
 {
@@ -85,6 +94,18 @@
     return it != m_objects.end() && it->second.contains(name);
 }
 
+std::vector<std::string> PlatformStore::names(const std::string &kind) const
+{
+    std::vector<std::string> result;
+    const auto it = m_objects.find(kind);
+    if (it != m_objects.end()) {
+        for (const auto &[name, object] : it->second) {
+            result.push_back(name);
+        }
+    }
+    return result;
+}
+
 json::value PlatformStore::shown(const std::string &name, const Object &object)
 {
     return json::object{{"metadata", json::object{{"name", name}, {"revision", object.revision}}}, {"spec", object.spec}};
@@ -129,6 +150,35 @@
     return jsonResponse(name.empty() ? kCreated : kOk, shown(key, objects.at(key)));
 }
 
+HttpResponse PlatformStore::erase(const std::string &kind, const std::string &name)
+{
+    const bool there = has(kind, name);
+    remove(kind, name);
+    return jsonResponse(there ? kOk : kNotFound, json::object());
+}
+
+/** Answers when an object of the kind has changed since, or when the caller has waited as long as it said. */
+asio::awaitable<HttpResponse> PlatformStore::watch(std::string kind, std::string query)
+{
+    if (faults.forgetful) {
+        co_return jsonResponse(kGone, json::object());
+    }
+    const std::uint64_t since = numberIn(query, "watch=");
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(numberIn(query, "wait_ms="));
+    json::array events;
+    while (events.empty() && std::chrono::steady_clock::now() < end) {
+        boost::system::error_code ignored; // the timer is not cancelled
+        asio::steady_timer timer(m_context, kWatchStep);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        for (const auto &[name, object] : m_objects[kind]) {
+            if (object.revision > since && !faults.deaf) {
+                events.push_back(json::object{{"object", shown(name, object)}, {"removed", false}});
+            }
+        }
+    }
+    co_return jsonResponse(kOk, json::object{{"events", events}, {"current_rev", m_revision}});
+}
+
 asio::awaitable<HttpResponse> PlatformStore::handle(HttpRequest request)
 {
     ++calls;
@@ -136,7 +186,10 @@
     const bool reads = request.method() == http::verb::get;
     const bool lost = !reads && faults.loseWrites > 0;
     std::string path(request.target());
-    path = path.substr(0, path.find('?'));
+    const std::size_t mark = std::min(path.find('?'), path.size());
+    const std::string query = path.substr(mark);
+    path.resize(mark);
+    writes += reads ? 0 : 1;
     const std::string rest = path.starts_with(kObjects) ? path.substr(kObjects.size()) : "";
     const std::size_t slash = rest.find('/');
     const std::string kind = rest.substr(0, slash);
@@ -156,9 +209,16 @@
     if (faults.refuseWith != 0) {
         co_return textResponse(faults.refuseWith, "refused\n");
     }
+    if (reads && query.find("watch=") != std::string::npos) {
+        HttpResponse changes = co_await watch(kind, query);
+        co_return changes;
+    }
     if (reads) {
         co_return read(kind, name);
     }
+    if (request.method() == http::verb::delete_) {
+        co_return erase(kind, name);
+    }
     co_return write(kind, name, request);
 }
 
--- a/standins/platformfleet.h
+++ b/standins/platformfleet.h
@@ -22,6 +22,8 @@
     unsigned refuseWith = 0; ///< status for every call; 0: none
     bool silent = false; ///< calls are read and never answered
     unsigned loseWrites = 0; ///< so many writes are done and not answered
+    bool forgetful = false; ///< what is asked to be watched from is gone
+    bool deaf = false; ///< watches hear of nothing
     std::chrono::milliseconds delay{0};
 };
 
@@ -39,9 +41,12 @@
     void set(const std::string &kind, const std::string &name, boost::json::value spec);
     void remove(const std::string &kind, const std::string &name);
     bool has(const std::string &kind, const std::string &name) const;
+    /** The names of a kind's objects. */
+    std::vector<std::string> names(const std::string &kind) const;
 
     StoreFaults faults;
     unsigned calls = 0;
+    unsigned writes = 0; ///< calls that were not reads
     bool spoil = false; ///< lists hold one more item whose text is not valid in its encoding
 
 private:
@@ -51,6 +56,8 @@
     };
 
     boost::asio::awaitable<HttpResponse> handle(HttpRequest request);
+    boost::asio::awaitable<HttpResponse> watch(std::string kind, std::string query);
+    HttpResponse erase(const std::string &kind, const std::string &name);
     HttpResponse read(const std::string &kind, const std::string &name) const;
     HttpResponse write(const std::string &kind, const std::string &name, const HttpRequest &request);
     static boost::json::value shown(const std::string &name, const Object &object);
--- a/testing/gatewaymutation_test.cpp
+++ b/testing/gatewaymutation_test.cpp
@@ -5,6 +5,7 @@
 
 #include "fulmarlink/attemptpolicy.h"
 #include "fulmarlink/configstate.h"
+#include "fulmarlink/crashhistory.h"
 #include "fulmarlink/eventsplitter.h"
 #include "fulmarlink/expertload.h"
 #include "fulmarlink/expertplanner.h"
@@ -222,6 +223,50 @@
     return !formGroups(reports).front().whole();
 }
 
+CrashHistory afterCrashes(unsigned crashes)
+{
+    CrashHistory history;
+    for (unsigned i = 0; i < crashes; ++i) {
+        CrashRecord record;
+        record.name = std::to_string(i);
+        record.lives.push_back({"i-1", i});
+        record.suspects.push_back({RequestFingerprint{1, 2, 3}, "c", "r", false});
+        history.add(record, at(0));
+    }
+    return history;
+}
+
+bool aThirdEndBans()
+{
+    return afterCrashes(3).standing({1, 2, 3}, at(3'600'000)).verdict == CrashVerdict::Banned;
+}
+
+bool anEndCountsOnce()
+{
+    CrashHistory history = afterCrashes(1);
+    CrashRecord again;
+    again.name = "another host's";
+    again.lives.push_back({"i-1", 0});
+    again.suspects.push_back({RequestFingerprint{1, 2, 3}, "c", "r", false});
+    history.add(again, at(0));
+    return history.standing({1, 2, 3}, at(0)).crashes == 1;
+}
+
+bool whatEndsWellIsCleared()
+{
+    CrashHistory history = afterCrashes(2);
+    history.endedWell({1, 2, 3}, at(1));
+    return history.standing({1, 2, 3}, at(1)).verdict == CrashVerdict::Clear;
+}
+
+bool noResendAfterARunnersEnd()
+{
+    AttemptState state = ranOnce();
+    state.repeatable = true;
+    state.runnerEnded = true;
+    return nextStep(state) == NextStep::Unknown;
+}
+
 struct Promise {
     const char *name;
     Mutation mutation;
@@ -265,6 +310,10 @@
                                            Promise{"TrustColdExperts", Mutation::TrustColdExperts, coldExpertsLeaveSlowRanks},
                                            Promise{"MixStarts", Mutation::MixStarts, countsOfTwoStartsAreApart},
                                            Promise{"ForgetMovedRank", Mutation::ForgetMovedRank, groupsOfTwoEpochsAreNotWhole},
+                                           Promise{"NeverBan", Mutation::NeverBan, aThirdEndBans},
+                                           Promise{"CountReports", Mutation::CountReports, anEndCountsOnce},
+                                           Promise{"ClearNobody", Mutation::ClearNobody, whatEndsWellIsCleared},
+                                           Promise{"ResendAfterCrash", Mutation::ResendAfterCrash, noResendAfterARunnersEnd},
                                            Promise{"KeepTerm", Mutation::KeepTerm, aLapsedTermEnds}),
                          [](const ::testing::TestParamInfo<Promise> &info) {
                              return info.param.name;
--- a/testing/harness/crashfleet.cpp
+++ b/testing/harness/crashfleet.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/parse.hpp>
+#include <cstdlib>
 
 #include "fulmarlink/log.h"
 #include "platform/platformclient.h"
@@ -55,7 +56,7 @@
     , m_killer(options.runners)
     , m_hosts(options.gateways)
 {
-    startLogging("off");
+    startLogging(std::getenv("FULMARLINK_TEST_LOG") != nullptr ? "info" : "off"); // NOLINT(concurrency-mt-unsafe): before any thread
     const HttpTarget address = store.listen();
     store.set("config", "main", configuration(options.group));
     for (unsigned i = 0; i < options.runners; ++i) {
--- a/testing/harness/fakegroup.cpp
+++ b/testing/harness/fakegroup.cpp
@@ -147,6 +147,26 @@
     co_return std::error_code();
 }
 
+asio::awaitable<CrashRecordsRead> FakeGroup::readCrashRecords()
+{
+    co_return CrashRecordsRead();
+}
+
+asio::awaitable<CrashRecordsRead> FakeGroup::awaitCrashRecords(std::uint64_t /*revision*/, std::chrono::milliseconds /*wait*/)
+{
+    co_return CrashRecordsRead();
+}
+
+asio::awaitable<std::error_code> FakeGroup::writeCrashRecord(CrashRecord /*record*/)
+{
+    co_return std::error_code();
+}
+
+asio::awaitable<std::error_code> FakeGroup::removeCrashRecord(std::string /*name*/)
+{
+    co_return std::error_code();
+}
+
 asio::awaitable<EntriesRead> FakeGroup::readEntries()
 {
     co_return EntriesRead();
--- a/testing/harness/fakegroup.h
+++ b/testing/harness/fakegroup.h
@@ -46,6 +46,10 @@
     boost::asio::awaitable<EntriesRead> readEntries() override;
     boost::asio::awaitable<LeaseRead> readLease(std::string group, bool allowStale) override;
     boost::asio::awaitable<LeaseRead> writeLease(std::string group, LeaseRecord record) override;
+    boost::asio::awaitable<CrashRecordsRead> readCrashRecords() override;
+    boost::asio::awaitable<CrashRecordsRead> awaitCrashRecords(std::uint64_t revision, std::chrono::milliseconds wait) override;
+    boost::asio::awaitable<std::error_code> writeCrashRecord(CrashRecord record) override;
+    boost::asio::awaitable<std::error_code> removeCrashRecord(std::string name) override;
     boost::asio::awaitable<RankReportRead> readRankReport(TargetInfo target) override;
     boost::asio::awaitable<ExpertCountsRead> readExpertCounts(TargetInfo target, unsigned layerSets) override;
     boost::asio::awaitable<RankPlacementRead> readRankPlacement(TargetInfo target) override;
