Tests of what surrounds a held-back request: answers, key, other loads, hosts and store that fail

Cause: the mend is proved by the failing test alone; each promise beside it needs a test that can fail. Change: the answer is at once, true and no invitation; other paths, bodies and customers go on; two such requests at a time; a wave of ends with another cause holds nobody back; a reset is no end and writes nothing; hosts killed and started between repeats, all at once too; the store away, refusing, slow, losing answers, forgetting its history, turning one host away, silent to one, deaf in its watches; records that can't be read.

--- a/testing/crashingrequest_test.cpp
+++ b/testing/crashingrequest_test.cpp
@@ -11,6 +11,7 @@
 // whatever else happens, the same request goes on to end them one by one. What counts is what the
 // runners saw.
 
+#include <boost/json/parse.hpp>
 #include <gtest/gtest.h>
 
 #include "testing/harness/crashfleet.h"
@@ -105,4 +106,262 @@
 
 INSTANTIATE_TEST_SUITE_P(Fleet, CrashingRequest, kCases, caseName);
 
+namespace
+{
+
+constexpr const char *kStream = "/stream/crash";
+
+/** Repeats one after the other, each at another gateway, until @p repeats have been made. */
+void repeat(CrashFleet &fleet, unsigned repeats, unsigned gateways, const std::string &path = kStream)
+{
+    for (unsigned i = 0; i < repeats; ++i) {
+        ASSERT_TRUE(fleet.runUntilUp(4));
+        fleet.ask(i % gateways, fleet.request(path));
+        fleet.run(200ms);
+    }
+}
+
+std::string cleared(const CrashFleet &fleet)
+{
+    std::string result;
+    for (const std::string &name : fleet.store.names("fulmarlink-crashes")) {
+        result += name.starts_with("cleared") ? name + ' ' : "";
+    }
+    return result;
+}
+
+} // namespace
+
+TEST(CrashingRequestAnswers, ARepeatIsRefusedAtOnceTrulyAndWithoutAnInvitation)
+{
+    CrashFleet fleet({});
+    ASSERT_TRUE(fleet.start());
+    repeat(fleet, 3, 5);
+    const auto began = std::chrono::steady_clock::now();
+    const HttpRequest request = fleet.request(kStream);
+    const Answer answer = fleet.ask(4, request);
+    EXPECT_LT(std::chrono::steady_clock::now() - began, 200ms);
+    EXPECT_EQ(answer.status, 503U);
+    EXPECT_TRUE(answer.whole);
+    EXPECT_EQ(answer["Fulmarlink-Result"], "135 request-ends-runners");
+    EXPECT_GT(std::stod(answer["Retry-After"]), 60.0);
+    EXPECT_FALSE(fleet.ran(std::string(request["Attempt-Id"])));
+    EXPECT_EQ(fleet.count("fulmarlink_requests_held_back"), 5U) << "one on each host";
+}
+
+TEST(CrashingRequestAnswers, TheAttemptWhoseRunnerEndedIsToldSoAndNotSentOn)
+{
+    CrashFleet fleet({});
+    ASSERT_TRUE(fleet.start());
+    const Answer answer = fleet.ask(0, fleet.request("/again/crash"));
+    EXPECT_EQ(answer.status, 502U);
+    EXPECT_EQ(answer["Fulmarlink-Result"], "214 runner-ended");
+    EXPECT_EQ(fleet.arrivals("/again/crash"), 1U);
+}
+
+TEST(CrashingRequestKey, OtherPathsBodiesAndCustomersAreNotHeldBack)
+{
+    CrashFleet fleet({});
+    ASSERT_TRUE(fleet.start());
+    repeat(fleet, 4, 5);
+    ASSERT_LE(fleet.crashes(kStream), kMostCrashes);
+    ASSERT_TRUE(fleet.runUntilUp(6));
+    const std::size_t before = fleet.arrivals(kStream);
+    fleet.ask(0, fleet.request(kStream, "another body"));
+    EXPECT_EQ(fleet.arrivals(kStream), before + 1) << "it has another body";
+    ASSERT_TRUE(fleet.runUntilUp(4));
+    fleet.ask(1, fleet.request(kStream, "text", "other-key"));
+    EXPECT_EQ(fleet.arrivals(kStream), before + 2) << "it is another customer's";
+    EXPECT_EQ(fleet.ask(2, fleet.request("/stream/fine")).status, 200U);
+    EXPECT_EQ(fleet.ask(3, fleet.request("/again/fine")).status, 200U);
+}
+
+TEST(CrashingRequestLoad, TwoOfThemAtTheSameTimeAreBothHeldBack)
+{
+    CrashFleet fleet({});
+    ASSERT_TRUE(fleet.start());
+    for (unsigned i = 0; i < 10; ++i) {
+        ASSERT_TRUE(fleet.runUntilUp(4));
+        fleet.send(i % 5, fleet.request("/stream/crash-1"));
+        fleet.send((i + 2) % 5, fleet.request("/again/crash-2"));
+        fleet.run(300ms);
+    }
+    EXPECT_LE(fleet.arrivals("/stream/crash-1"), kMostCrashes);
+    EXPECT_LE(fleet.arrivals("/again/crash-2"), kMostCrashes);
+}
+
+// The load: callers ask for their status in the same words all the time, and runners end for causes of their own.
+TEST(CrashingRequestLoad, AWaveOfEndsWithAnotherCauseHoldsNobodyBack)
+{
+    CrashFleet fleet({.runners = 8, .work = 10ms});
+    ASSERT_TRUE(fleet.start());
+    unsigned sent = 0;
+    for (unsigned round = 0; round < 12; ++round) {
+        ASSERT_TRUE(fleet.runUntilUp(6));
+        for (unsigned i = 0; i < 20; ++i) {
+            fleet.send(i % 5, fleet.request("/again/status"));
+            fleet.send(i % 5, fleet.request("/stream/own", "body " + std::to_string(++sent)));
+        }
+        fleet.run(8ms);
+        fleet.crashRunner(round % 8);
+        fleet.crashRunner((round + 3) % 8);
+        fleet.run(250ms);
+        EXPECT_EQ(fleet.count("fulmarlink_requests_held_back"), 0U) << cleared(fleet);
+    }
+    EXPECT_GT(fleet.count("fulmarlink_runners_ended_total"), 10U);
+    ASSERT_TRUE(fleet.runUntilUp(8));
+    for (unsigned gateway = 0; gateway < 5; ++gateway) {
+        EXPECT_EQ(fleet.ask(gateway, fleet.request("/again/status")).status, 200U);
+    }
+}
+
+TEST(CrashingRequestLoad, AResetConnectionIsNoRunnersEnd)
+{
+    CrashFleet fleet({});
+    ASSERT_TRUE(fleet.start());
+    for (unsigned i = 0; i < 6; ++i) {
+        EXPECT_EQ(fleet.ask(i % 5, fleet.request("/again/reset")).status, 200U);
+    }
+    EXPECT_EQ(fleet.count("fulmarlink_runners_ended_total"), 0U);
+    EXPECT_EQ(fleet.store.names("fulmarlink-crashes").size(), 0U) << "nothing is written while runners live";
+}
+
+TEST(CrashingRequestHosts, AHostThatStartsReadsWhatStandsBeforeItServes)
+{
+    CrashFleet fleet({.gateways = 3});
+    ASSERT_TRUE(fleet.start());
+    for (unsigned i = 0; i < 9; ++i) {
+        ASSERT_TRUE(fleet.runUntilUp(4));
+        fleet.ask(i % 3, fleet.request(kStream));
+        fleet.run(250ms);
+        fleet.killGateway(i % 3);
+        fleet.run(50ms);
+        fleet.startGateway(i % 3);
+        fleet.run(300ms);
+    }
+    EXPECT_LE(fleet.arrivals(kStream), kMostCrashes);
+}
+
+TEST(CrashingRequestHosts, AllHostsAreLostAtOnceAndStillKnow)
+{
+    CrashFleet fleet({.gateways = 3});
+    ASSERT_TRUE(fleet.start());
+    repeat(fleet, 2, 3);
+    for (unsigned gateway = 0; gateway < 3; ++gateway) {
+        fleet.killGateway(gateway);
+    }
+    for (unsigned gateway = 0; gateway < 3; ++gateway) {
+        fleet.startGateway(gateway);
+    }
+    fleet.run(500ms);
+    repeat(fleet, 6, 3);
+    EXPECT_LE(fleet.arrivals(kStream), kMostCrashes);
+}
+
+namespace
+{
+
+struct StoreCase {
+    const char *name;
+    void (*harm)(CrashFleet &fleet);
+};
+
+void PrintTo(const StoreCase &value, std::ostream *out) // NOLINT(readability-identifier-naming): found by GoogleTest
+{
+    *out << value.name;
+}
+
+class CrashingRequestStore : public ::testing::TestWithParam<StoreCase>
+{
+};
+
+} // namespace
+
+// What the store does while the ends are noted; each host holds to what it knows, and all know once the store is back.
+TEST_P(CrashingRequestStore, IsHarmedAndTheRequestIsHeldBackAllTheSame)
+{
+    CrashFleet fleet({});
+    ASSERT_TRUE(fleet.start());
+    GetParam().harm(fleet);
+    repeat(fleet, 3, 1); // at one host, which knows without the store
+    EXPECT_LE(fleet.arrivals(kStream), kMostCrashes);
+    fleet.store.faults = {};
+    for (const auto &proxy : fleet.storeProxies) {
+        proxy->setMode(ProxyMode::Pass);
+    }
+    fleet.run(3000ms);
+    repeat(fleet, 8, 5);
+    EXPECT_LE(fleet.arrivals(kStream), kMostCrashes);
+}
+
+INSTANTIATE_TEST_SUITE_P(Store,
+                         CrashingRequestStore,
+                         ::testing::Values(StoreCase{"Away",
+                                                     [](CrashFleet &fleet) {
+                                                         fleet.store.faults.refuseWith = 503;
+                                                     }},
+                                           StoreCase{"RefusesForItsRate",
+                                                     [](CrashFleet &fleet) {
+                                                         fleet.store.faults.refuseWith = 429;
+                                                     }},
+                                           StoreCase{"Slow",
+                                                     [](CrashFleet &fleet) {
+                                                         fleet.store.faults.delay = 200ms;
+                                                     }},
+                                           StoreCase{"LosesAnswers",
+                                                     [](CrashFleet &fleet) {
+                                                         fleet.store.faults.loseWrites = 2;
+                                                     }},
+                                           StoreCase{"ForgetsItsHistory",
+                                                     [](CrashFleet &fleet) {
+                                                         fleet.store.faults.forgetful = true;
+                                                     }},
+                                           StoreCase{"TurnsOneHostAway",
+                                                     [](CrashFleet &fleet) {
+                                                         fleet.storeProxies[0]->setMode(ProxyMode::Refuse);
+                                                         fleet.storeProxies[0]->reset();
+                                                     }},
+                                           StoreCase{"IsSilentToOneHost",
+                                                     [](CrashFleet &fleet) {
+                                                         fleet.storeProxies[0]->setMode(ProxyMode::Silent);
+                                                     }}),
+                         [](const ::testing::TestParamInfo<StoreCase> &info) {
+                             return info.param.name;
+                         });
+
+// Other writers' records, and what a later version may write, hold nothing back and hide nothing.
+TEST(CrashingRequestStoreRecords, ThatCantBeReadAreLeftOut)
+{
+    CrashFleet fleet({.gateways = 3});
+    for (const char *content : {R"({})",
+                                R"(7)",
+                                R"("text")",
+                                R"(null)",
+                                R"({"kind":"crash","host":"h","written_ms":1e300,"lives":[{"target":"i-1","born":-4}],"suspects":[]})",
+                                R"({"kind":"later","host":"h","written_ms":1,"lives":[],"suspects":[]})",
+                                R"({"kind":"crash","host":7,"written_ms":1,"lives":[],"suspects":[]})",
+                                R"({"kind":"crash","host":"h","written_ms":1,"lives":[{"target":5}],"suspects":[]})",
+                                R"({"kind":"crash","host":"h","written_ms":1,"lives":[],"suspects":[{"fingerprint":"zz"}]})",
+                                R"({"kind":"trial","host":"h","written_ms":1,"lives":[[[[]]]],"suspects":{}})"}) {
+        fleet.store.set("fulmarlink-crashes", "odd-" + std::to_string(fleet.store.names("fulmarlink-crashes").size()), boost::json::parse(content));
+    }
+    fleet.store.set("fulmarlink-crashes", "odd name/../\r\n", boost::json::parse(R"({"kind":"crash","host":"h","written_ms":1,"lives":[],"suspects":[]})"));
+    ASSERT_TRUE(fleet.start());
+    EXPECT_EQ(fleet.ask(0, fleet.request("/again/fine")).status, 200U);
+    repeat(fleet, 6, 3);
+    EXPECT_LE(fleet.arrivals(kStream), kMostCrashes);
+}
+
+// The last record of a rare end comes while watches hear nothing: it is known when all records are read anew.
+TEST(CrashingRequestStoreRecords, ThatAWatchDidNotTellOfAreReadAfterAWhile)
+{
+    CrashFleet fleet({});
+    ASSERT_TRUE(fleet.start());
+    fleet.store.faults.deaf = true;
+    repeat(fleet, 2, 1);
+    fleet.run(11s);
+    EXPECT_EQ(fleet.ask(4, fleet.request(kStream)).status, 503U);
+    EXPECT_LE(fleet.arrivals(kStream), 2U);
+}
+
 } // namespace fulmarlink::testing
--- a/testing/harness/crashfleet.cpp
+++ b/testing/harness/crashfleet.cpp
@@ -102,6 +102,10 @@
 {
     const std::string path(request.target());
     m_arrivals[path].push_back(std::chrono::steady_clock::now());
+    const bool firstTry = m_reset.insert(std::string(request["Attempt-Id"])).second;
+    if (path.find("reset") != std::string::npos && firstTry) {
+        return RunnerAct::ResetUnanswered;
+    }
     if (path.find("crash") == std::string::npos) {
         return RunnerAct::Answer;
     }
--- a/testing/harness/crashfleet.h
+++ b/testing/harness/crashfleet.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,7 +32,7 @@
  * start again after a while. The store and the runners are stand-ins; each gateway reaches
  * the store through a proxy of its own. For one thread.
  *
- * A request whose path contains "crash" ends each runner that begins it. What the runners
+ * A request whose path contains "crash" ends each runner that begins it; "reset" has the connection of its first try reset. What the runners
  * saw is counted here, apart from what the gateways say of themselves.
  */
 class CrashFleet
@@ -106,6 +107,7 @@
     std::vector<Host> m_hosts;
     std::map<std::string, std::vector<Time>> m_arrivals; ///< by path
     std::map<std::string, std::vector<Time>> m_crashes; ///< by path
+    std::set<std::string> m_reset; ///< attempts that a runner has seen
     std::uint64_t m_born = 1'790'000'000'000;
     unsigned m_lives = 0;
     unsigned m_attempts = 0;
