An exception costs the request, the call or the loop in which it is thrown, and nothing else

Cause: coroutines ended without a word, or with the process. A request that breaks its handler left its host with a request unanswered for ever, and came again at the next host; an object of the store that breaks its reader ended that reading on every host, and a keeper of maps ended the process, then that of the host which took the lease next. Ruled out: try and catch at each of the places that wait for several calls at once; one of them would be forgotten. Change: calls of the platform never throw (GuardedPlatform), loops that the process needs are run again (supervised), a keeper that breaks off gives its lease back and is replaced, a connection's coroutine catches, counts are put right before an exception goes on. Counter and lines for each.

--- a/fulmarlink/gateway.cpp
+++ b/fulmarlink/gateway.cpp
@@ -4,13 +4,16 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <functional>
 
 #include "fulmarlink/callerprotocol.h"
 #include "fulmarlink/groupwatch.h"
+#include "fulmarlink/guardedplatform.h"
 #include "fulmarlink/httpserver.h"
 #include "fulmarlink/log.h"
 #include "fulmarlink/platform.h"
 #include "fulmarlink/resultcode.h"
+#include "fulmarlink/supervised.h"
 
 namespace fulmarlink
 {
@@ -53,7 +56,7 @@
 Gateway::Gateway(asio::io_context &context, GatewaySettings settings, Counters &counters, GatewayEdges edges)
     : m_context(context)
     , m_counters(counters)
-    , m_edges(std::move(edges))
+    , m_edges{std::move(edges.protocol), std::make_unique<GuardedPlatform>(std::move(edges.platform), counters)}
     , m_state(std::move(settings), m_clock, m_counters, *m_edges.protocol)
     , m_connections(context.get_executor(), m_clock, m_counters)
     , m_crashWatch(context, m_state, *m_edges.platform)
@@ -93,12 +96,12 @@
 {
     startHttp();
     m_server.listen();
-    asio::co_spawn(m_context, configurationLoop(), asio::detached);
-    asio::co_spawn(m_context, targetsLoop(), asio::detached);
-    asio::co_spawn(m_context, entriesLoop(), asio::detached);
-    asio::co_spawn(m_context, housekeeping(), asio::detached);
-    asio::co_spawn(m_context, m_crashWatch.run(), asio::detached);
-    asio::co_spawn(m_context, m_crashWatch.publish(), asio::detached);
+    keepRunning("configuration", &Gateway::configurationLoop);
+    keepRunning("targets", &Gateway::targetsLoop);
+    keepRunning("entries", &Gateway::entriesLoop);
+    keepRunning("housekeeping", &Gateway::housekeeping);
+    keepRunning("crash-records", &Gateway::crashRecordsLoop);
+    keepRunning("crash-publishing", &Gateway::crashPublishingLoop);
     logChange("started",
               {{"host", m_state.settings.host},
                {"zone", m_state.settings.zone},
@@ -106,6 +109,21 @@
                {"version", FULMARLINK_VERSION}});
 }
 
+void Gateway::keepRunning(std::string name, asio::awaitable<void> (Gateway::*loop)())
+{
+    asio::co_spawn(m_context, supervised(m_context, m_counters, std::move(name), std::bind_front(loop, this)), asio::detached);
+}
+
+asio::awaitable<void> Gateway::crashRecordsLoop()
+{
+    return m_crashWatch.run();
+}
+
+asio::awaitable<void> Gateway::crashPublishingLoop()
+{
+    return m_crashWatch.publish();
+}
+
 void Gateway::startDrain()
 {
     m_state.drainBegan = m_clock.now();
@@ -203,7 +221,10 @@
         }
         const auto watch = std::make_shared<GroupWatch>(m_context, m_state, *m_edges.platform, service.name);
         m_groupWatches.emplace(service.name, watch);
-        asio::co_spawn(m_context, watch->run(), asio::detached);
+        auto run = [watch] {
+            return watch->run();
+        };
+        asio::co_spawn(m_context, supervised(m_context, m_counters, "groups", std::move(run)), asio::detached);
     }
 }
 
--- a/fulmarlink/gateway.h
+++ b/fulmarlink/gateway.h
@@ -59,6 +59,9 @@
     boost::asio::awaitable<void> targetsLoop();
     boost::asio::awaitable<void> entriesLoop();
     boost::asio::awaitable<void> housekeeping();
+    boost::asio::awaitable<void> crashRecordsLoop();
+    boost::asio::awaitable<void> crashPublishingLoop();
+    void keepRunning(std::string name, boost::asio::awaitable<void> (Gateway::*loop)());
     boost::asio::awaitable<void> sleep(Duration duration);
     /** Begins to watch the groups of pools that are new in the configuration and have experts. */
     void watchGroups();
--- a/fulmarlink/gatewayexchange.cpp
+++ b/fulmarlink/gatewayexchange.cpp
@@ -219,6 +219,24 @@
 asio::awaitable<bool> GatewayExchange::run()
 {
     ++m_state.exchanges;
+    std::exception_ptr error;
+    try {
+        co_await answer();
+    } catch (...) {
+        error = std::current_exception();
+    }
+    --m_state.exchanges;
+    if (error) {
+        std::rethrow_exception(error);
+    }
+    m_state.counters.countResult(m_gone ? ResultCode::CallerGone : m_result);
+    m_state.requestDuration.observe(m_state.clock.now() - m_arrived);
+    log();
+    co_return !m_broken && !m_gone && !closing();
+}
+
+asio::awaitable<void> GatewayExchange::answer()
+{
     bool admitted = admit();
     if (admitted && m_trial) {
         admitted = co_await claimTrial();
@@ -228,11 +246,6 @@
     } else {
         co_await writeOwn(m_result, m_retryAfter);
     }
-    --m_state.exchanges;
-    m_state.counters.countResult(m_gone ? ResultCode::CallerGone : m_result);
-    m_state.requestDuration.observe(m_state.clock.now() - m_arrived);
-    log();
-    co_return !m_broken && !m_gone && !closing();
 }
 
 void GatewayExchange::callerGone()
@@ -358,6 +371,24 @@
         gate().workBegan(began);
     }
     m_state.targets.sent(target.id);
+    AttemptEnd end = AttemptEnd::NotSent;
+    std::exception_ptr error;
+    try {
+        end = co_await sendTo(target);
+    } catch (...) {
+        error = std::current_exception();
+    }
+    m_state.targets.ended(target.id);
+    if (error) {
+        m_state.attempts.ended(m_attempt, RunnerAttempts::End::Known, m_state.clock.now());
+        std::rethrow_exception(error);
+    }
+    noteAttempt(target, end, began);
+    co_return end;
+}
+
+asio::awaitable<AttemptEnd> GatewayExchange::sendTo(const TargetInfo &target)
+{
     AttemptEnd end = AttemptEnd::NotSent;
     const auto connection = co_await m_state.connections->acquire(target, std::min(kConnectTimeout, timerMs(timeLeft())));
     if (!connection) {
@@ -386,8 +417,6 @@
         }
         co_await noteEnd(target, end);
     }
-    m_state.targets.ended(target.id);
-    noteAttempt(target, end, began);
     co_return end;
 }
 
--- a/fulmarlink/gatewayexchange.h
+++ b/fulmarlink/gatewayexchange.h
@@ -60,11 +60,13 @@
     double usualEvents() const;
     bool refuse(ResultCode code, Duration retryAfter = Duration(0));
     const std::string &choosePool();
+    boost::asio::awaitable<void> answer();
     boost::asio::awaitable<void> serve();
     std::optional<TargetInfo> nextTarget();
     boost::asio::awaitable<std::optional<TargetInfo>> targetToResume();
     PoolGate &gate();
     boost::asio::awaitable<AttemptEnd> attempt(const TargetInfo &target);
+    boost::asio::awaitable<AttemptEnd> sendTo(const TargetInfo &target);
     boost::asio::awaitable<bool> write(TargetConnection &connection, const TargetInfo &target);
     boost::asio::awaitable<AttemptEnd> readAnswer(TargetConnection &connection, const TargetInfo &target);
     boost::asio::awaitable<boost::system::error_code> readHead(TargetConnection &connection, std::unique_ptr<AnswerParser> &parser);
--- a/fulmarlink/gatewayserver.cpp
+++ b/fulmarlink/gatewayserver.cpp
@@ -16,6 +16,7 @@
 #include "fulmarlink/gatewayexchange.h"
 #include "fulmarlink/httpconnection.h"
 #include "fulmarlink/log.h"
+#include "fulmarlink/supervised.h"
 
 namespace fulmarlink
 {
@@ -110,6 +111,7 @@
     , m_acceptor(executor)
     , m_accepted(state.counters.registerCounter("fulmarlink_caller_connections_total"))
     , m_acceptFailures(state.counters.registerCounter("fulmarlink_accept_failures_total"))
+    , m_exceptions(state.counters.registerCounter("fulmarlink_exceptions_total"))
 {
 }
 
@@ -165,10 +167,21 @@
 {
     m_connections.insert(connection.get());
     tuneSocket(connection->stream);
-    bool again = true;
-    while (again) {
-        again = co_await serveOne(connection);
+    std::exception_ptr error;
+    try {
+        bool again = true;
+        while (again) {
+            again = co_await serveOne(connection);
+        }
+    } catch (...) {
+        // A request that breaks its handler must cost its own connection only: it comes again, at this host or at another.
+        error = std::current_exception();
+    }
+    if (error) {
+        m_state.counters.add(m_exceptions);
+        logWarning("request-broke-off", {{"error", whatOf(error)}});
     }
+    connection->exchange = nullptr;
     m_connections.erase(connection.get());
     connection->stream.close();
 }
--- a/fulmarlink/gatewayserver.h
+++ b/fulmarlink/gatewayserver.h
@@ -45,6 +45,7 @@
     std::unordered_set<Connection *> m_connections;
     Counters::Id m_accepted;
     Counters::Id m_acceptFailures;
+    Counters::Id m_exceptions;
 };
 
 } // namespace fulmarlink
--- a/fulmarlink/groupwatch.cpp
+++ b/fulmarlink/groupwatch.cpp
@@ -10,6 +10,7 @@
 #include "fulmarlink/log.h"
 #include "fulmarlink/mapkeeper.h"
 #include "fulmarlink/platform.h"
+#include "fulmarlink/supervised.h"
 
 namespace fulmarlink
 {
@@ -156,10 +157,14 @@
 {
     const auto keeper = std::make_shared<MapKeeper>(m_context, m_state, m_platform, m_pool, group);
     m_keepers.emplace(group, keeper);
-    asio::co_spawn(m_context, keeper->run(), [keeper](const std::exception_ptr &error) { // it lives as long as its loop
-        if (error) {
-            std::rethrow_exception(error);
+    asio::co_spawn(m_context, keeper->run(), [this, keeper](const std::exception_ptr &error) { // it lives as long as its loop
+        if (!error) {
+            return;
         }
+        // Rethrown it would end this process, and then that of the host which takes the lease next. The keeper gives its lease back and is replaced.
+        logWarning("map-keeper-broke-off", {{"pool", m_pool}, {"error", whatOf(error)}});
+        asio::co_spawn(m_context, keeper->end(), [keeper](const std::exception_ptr & /*it only writes the lease*/) {
+        });
     });
 }
 
--- a/fulmarlink/mapkeeper.cpp
+++ b/fulmarlink/mapkeeper.cpp
@@ -14,6 +14,7 @@
 
 #include "fulmarlink/enginemodel.h"
 #include "fulmarlink/log.h"
+#include "fulmarlink/supervised.h"
 
 namespace fulmarlink
 {
@@ -145,7 +146,10 @@
 
 asio::awaitable<void> MapKeeper::run()
 {
-    asio::co_spawn(m_context, m_lease.run(), asio::detached);
+    auto lease = [this] {
+        return m_lease.run();
+    };
+    asio::co_spawn(m_context, supervised(m_context, m_state.counters, "lease", std::move(lease)), asio::detached);
     m_lastMember = m_state.clock.now();
     while (!m_state.drainBegan && m_state.clock.now() - m_lastMember < kGroupForgotten) {
         co_await sleep(m_lease.holds() ? kRound : kFollowerRound);
@@ -167,6 +171,11 @@
             co_await leaderRound();
         }
     }
+    co_await end();
+}
+
+asio::awaitable<void> MapKeeper::end()
+{
     const bool held = m_lease.holds();
     co_await m_lease.stop(kYield);
     m_state.groupsOwned -= m_wasLeader ? 1 : 0;
--- a/fulmarlink/mapkeeper.h
+++ b/fulmarlink/mapkeeper.h
@@ -33,6 +33,8 @@
     MapKeeper(boost::asio::io_context &context, GatewayState &state, Platform &platform, std::string pool, std::string group);
 
     boost::asio::awaitable<void> run();
+    /** Gives the lease back. Part of run(); to be called after it only if it broke off by an exception. */
+    boost::asio::awaitable<void> end();
     /** run() has ended, and all that it began: the object may go. */
     bool ended() const;
 
