--- a/app/ctl.cpp
+++ b/app/ctl.cpp
@@ -4,7 +4,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/json.hpp>
 #include <charconv>
@@ -15,6 +14,7 @@
 #include <thread>
 
 #include "app/commands.h"
+#include "app/parsetarget.h"
 #include "fulmarlink/hostlist.h"
 #include "fulmarlink/httpobjectstore.h"
 #include "fulmarlink/rulesapply.h"
@@ -42,19 +42,6 @@
     bool json = false;
 };
 
-bool parseTarget(const std::string &text, HttpTarget &target)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos) {
-        return false;
-    }
-    target.address = text.substr(0, colon);
-    boost::system::error_code bad;
-    asio::ip::make_address(target.address, bad);
-    const auto [end, error] = std::from_chars(text.data() + colon + 1, text.data() + text.size(), target.port);
-    return !bad && error == std::errc() && end == text.data() + text.size();
-}
-
 std::string currentUser()
 {
     const char *user = std::getenv("USER"); // NOLINT(concurrency-mt-unsafe): before any thread
--- a/standins/platformfleet.cpp
+++ b/standins/platformfleet.cpp
@@ -94,6 +94,11 @@
     return it != m_objects.end() && it->second.contains(name);
 }
 
+json::value PlatformStore::get(const std::string &kind, const std::string &name) const
+{
+    return has(kind, name) ? m_objects.at(kind).at(name).spec : json::value();
+}
+
 std::vector<std::string> PlatformStore::names(const std::string &kind) const
 {
     std::vector<std::string> result;
--- a/standins/platformfleet.h
+++ b/standins/platformfleet.h
@@ -41,6 +41,8 @@
     void set(const std::string &kind, const std::string &name, boost::json::value spec);
     void remove(const std::string &kind, const std::string &name);
     bool has(const std::string &kind, const std::string &name) const;
+    /** Its content; null if it is not there. */
+    boost::json::value get(const std::string &kind, const std::string &name) const;
     /** The names of a kind's objects. */
     std::vector<std::string> names(const std::string &kind) const;
 
--- a/testing/crashingrequest_test.cpp
+++ b/testing/crashingrequest_test.cpp
@@ -242,6 +242,34 @@
     EXPECT_LE(fleet.arrivals(kStream), kMostCrashes);
 }
 
+TEST(CrashingRequestHosts, AnOperatorsReleaseLetsItRunAgainOnAllHosts)
+{
+    CrashFleet fleet({});
+    ASSERT_TRUE(fleet.start());
+    repeat(fleet, 4, 5);
+    ASSERT_EQ(fleet.ask(0, fleet.request(kStream)).status, 503U);
+    boost::json::array lives;
+    std::string fingerprint;
+    for (const std::string &name : fleet.store.names("fulmarlink-crashes")) {
+        const boost::json::value record = fleet.store.get("fulmarlink-crashes", name);
+        lives.push_back(record.at("lives").at(0));
+        fingerprint = record.at("suspects").at(0).at("fingerprint").as_string();
+    }
+    fleet.store.set("fulmarlink-crashes",
+                    "cleared." + fingerprint + ".operator.1",
+                    boost::json::object{{"kind", "cleared"},
+                                        {"host", "operator"},
+                                        {"written_ms", 1'900'000'000'000},
+                                        {"lives", lives},
+                                        {"suspects", boost::json::array{boost::json::object{{"fingerprint", fingerprint}}}}});
+    fleet.run(300ms);
+    ASSERT_TRUE(fleet.runUntilUp(6));
+    const std::size_t before = fleet.arrivals(kStream);
+    fleet.ask(3, fleet.request(kStream));
+    EXPECT_EQ(fleet.arrivals(kStream), before + 1);
+    EXPECT_EQ(fleet.count("fulmarlink_requests_held_back"), 0U);
+}
+
 TEST(CrashingRequestHosts, AllHostsAreLostAtOnceAndStillKnow)
 {
     CrashFleet fleet({.gateways = 3});
