--- a/fulmarlink/crashrecord.h
+++ b/fulmarlink/crashrecord.h
@@ -16,7 +16,7 @@
     std::string id;
     std::uint64_t born = 0; ///< Unix time in milliseconds; 0: the runner does not say
 
-    auto operator<=>(const TargetLife &) const = default;
+    auto operator<=>(const TargetLife &) const = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 takes the generated comparison with 0 for a pointer's
 };
 
 /** A request that was in progress at a runner that ended. */
--- a/fulmarlink/requestfingerprint.h
+++ b/fulmarlink/requestfingerprint.h
@@ -34,7 +34,7 @@
     /** Reads what text() gave; nothing for any other text. */
     static std::optional<RequestFingerprint> parse(std::string_view text);
 
-    auto operator<=>(const RequestFingerprint &) const = default;
+    auto operator<=>(const RequestFingerprint &) const = default; // NOLINT(modernize-use-nullptr): as at TargetLife
 };
 
 /** O(bytes of @p identity), some 10 GB/s. */
--- a/testing/runnerattempts_test.cpp
+++ b/testing/runnerattempts_test.cpp
@@ -28,6 +28,7 @@
 std::vector<std::uint64_t> numbers(const std::vector<CrashSuspect> &suspects)
 {
     std::vector<std::uint64_t> result;
+    result.reserve(suspects.size());
     for (const CrashSuspect &one : suspects) {
         result.push_back(one.fingerprint.low);
     }
