A runner's end is noticed although the last packets of some connections were lost

Cause: a host took a runner for alive while one of its attempts there still seemed to be in progress 0.1 s after new connections were refused; with a lost packet that lasts longer. Change: as long as connections are refused it looks up to five times, and then goes by silence. Losing and regaining the store is one line each, tries are spread.

--- a/fulmarlink/crashwatch.cpp
+++ b/fulmarlink/crashwatch.cpp
@@ -23,6 +23,7 @@
     100}; ///< a connection that is refused is refused within a cross-zone round trip; a lost packet costs more than it tells
 constexpr Duration kConfirm
     = std::chrono::milliseconds(100); ///< a runner that only turned callers away answers the others meanwhile; far below a restart's time
+constexpr unsigned kLooks = 5; ///< 0.5 s: a lost packet comes again after 0.2 s and then 0.4 s
 /**
  * A store holds an answer back for so long where nothing happens, 0.4 calls a second. A connection that has gone silent is noticed by then, in less
  * time than a platform gives for what all hosts must know.
@@ -86,6 +87,25 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+/** One line when the store is lost and one when it is there again, not one for each try. */
+void CrashWatch::noteStore(bool &before, bool now, const char *event, const std::error_code &error) const
+{
+    if (before == now) {
+        return;
+    }
+    before = now;
+    logChange(event,
+              {{"done", now ? "true" : "false"},
+               {"error", now ? std::string() : error.message()},
+               {"records", std::to_string(m_state.crashes.size())},
+               {"waiting", std::to_string(m_queue.size())}});
+}
+
+Duration CrashWatch::retryPause()
+{
+    return kStoreRetry + Duration(static_cast<Duration::rep>(m_state.random() % static_cast<std::uint64_t>(kStoreRetry.count())));
+}
+
 asio::awaitable<void> CrashWatch::run()
 {
     std::uint64_t revision = 0;
@@ -100,10 +120,11 @@
         } else {
             read = co_await m_platform.awaitCrashRecords(revision, kWait);
         }
-        if (read.error && read.error != ResultCode::ObjectNotFound) {
-            logChange("crash-records-unread", {{"error", read.error.message()}, {"revision", std::to_string(revision)}});
+        const bool failed = read.error && read.error != ResultCode::ObjectNotFound;
+        noteStore(m_readable, !failed, "crash-records-read", read.error);
+        if (failed) {
             revision = read.error == ResultCode::StoreHistoryGone ? 0 : revision;
-            co_await sleep(kStoreRetry);
+            co_await sleep(retryPause());
             continue;
         }
         revision = read.revision;
@@ -123,9 +144,6 @@
     for (CrashRecord &record : read.records) {
         take(std::move(record));
     }
-    if (!m_state.crashesKnown) {
-        logChange("crash-records-read", {{"records", std::to_string(m_state.crashes.size())}});
-    }
     m_state.crashesKnown = true;
     queueClearings();
     m_state.counters.set(m_records, m_state.crashes.size());
@@ -190,19 +208,27 @@
     co_return refused;
 }
 
+/**
+ * A connection whose last packet was lost seems to be open for a while after its runner has
+ * ended, so as long as new ones are refused it is looked at a few times more.
+ */
 asio::awaitable<void> CrashWatch::confirm(TargetInfo target)
 {
-    co_await sleep(kConfirm);
     const TargetLife life = lifeOf(target);
-    bool gone = !m_state.attempts.anyInProgress(life);
-    if (gone) {
-        gone = co_await refusesConnections(target);
+    const TimePoint began = m_state.clock.now();
+    bool refused = true;
+    bool gone = false;
+    for (unsigned look = 1; look <= kLooks && refused && !gone; ++look) {
+        co_await sleep(kConfirm);
+        refused = co_await refusesConnections(target);
+        const bool silent = look == kLooks && m_state.targets.lastHeard(life.id) < began;
+        gone = refused && (silent || !m_state.attempts.anyInProgress(life));
     }
     m_suspected.erase(life);
     if (gone) {
         ended(life, "refused");
     } else {
-        logChange("runner-lives", {{"target", life.id}, {"born", std::to_string(life.born)}});
+        logChange("runner-lives", {{"target", life.id}, {"born", std::to_string(life.born)}, {"refused", refused ? "true" : "false"}});
     }
 }
 
@@ -292,10 +318,8 @@
         if (there && !m_queue.empty() && m_queue.front().name == record.name) {
             m_queue.pop_front();
         }
-        if (!there) {
-            logChange("crash-record-unwritten", {{"record", record.name}, {"error", error.message()}, {"waiting", std::to_string(m_queue.size())}});
-        }
-        co_await sleep(there ? kBetweenWrites : kStoreRetry);
+        noteStore(m_writable, there, "crash-record-written", error);
+        co_await sleep(there ? kBetweenWrites : retryPause());
     }
 }
 
--- a/fulmarlink/crashwatch.h
+++ b/fulmarlink/crashwatch.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <set>
 #include <string>
+#include <system_error>
 
 #include "fulmarlink/counters.h"
 #include "fulmarlink/crashrecord.h"
@@ -22,8 +23,9 @@
  * with all hosts through the store.
  *
  * A connection that is reset says nothing about its runner. A runner counts as ended when
- * all of this host's attempts there broke off and new connections are refused, twice
- * within kConfirm, or when its entry shows that it has started again.
+ * new connections are refused, again and again, and all of this host's attempts there have
+ * broken off or been silent for half a second, or when its entry shows that it has started
+ * again.
  *
  * The store is written to only after a runner has ended. A record that can't be written
  * waits; what this host knows holds here all the same.
@@ -54,6 +56,8 @@
     void take(CrashRecord record);
     void queue(CrashRecord record);
     void queueClearings();
+    void noteStore(bool &before, bool now, const char *event, const std::error_code &error) const;
+    Duration retryPause();
     boost::asio::awaitable<void> dropOld();
     void noteStandings(const CrashRecord &record);
     CrashRecord ownRecord(CrashRecordKind kind, const std::string &name) const;
@@ -67,6 +71,8 @@
     std::set<TargetLife> m_ended; ///< the last kMaxEnded
     std::deque<TargetLife> m_endedOrder;
     std::uint64_t m_written = 0;
+    bool m_readable = false; ///< the last reading of records succeeded
+    bool m_writable = true; ///< the last writing of a record did
     Counters::Id m_runnersEnded;
     Counters::Id m_heldBack;
     Counters::Id m_records;
--- a/standins/platformfleet.cpp
+++ b/standins/platformfleet.cpp
@@ -271,7 +271,9 @@
     boost::system::error_code ignored; // nobody is left who could care
     m_acceptor.close(ignored);
     for (boost::beast::tcp_stream *stream : m_open) {
-        stream->close();
+        if (!lossy) {
+            stream->close();
+        }
     }
 }
 
@@ -338,6 +340,7 @@
     if (!m_acceptor.is_open()) {
         co_return; // another request ended it meanwhile
     }
+    stream.close();
     end();
     if (crashed) {
         crashed();
--- a/standins/platformfleet.h
+++ b/standins/platformfleet.h
@@ -102,6 +102,7 @@
     const std::string &id() const;
     /** The process is gone: connections are cut, new ones are refused. */
     void end();
+    bool lossy = false; ///< when it ends, callers do not hear of it on their open connections
     /** Begins another life; listen() follows. */
     void setId(std::string id);
 
--- a/testing/crashingrequest_test.cpp
+++ b/testing/crashingrequest_test.cpp
@@ -215,6 +215,23 @@
     }
 }
 
+// The load: the last packets of a runner that ended are lost, so that other attempts there seem to go on.
+TEST(CrashingRequestLoad, AnEndOfWhichOtherAttemptsDoNotHearIsNoticed)
+{
+    CrashFleet fleet({.runners = 8, .sameId = false, .back = 1500ms, .lossy = true, .work = 60ms});
+    ASSERT_TRUE(fleet.start());
+    for (unsigned i = 0; i < 8; ++i) {
+        ASSERT_TRUE(fleet.runUntilUp(6));
+        for (unsigned j = 0; j < 16; ++j) {
+            fleet.send(0, fleet.request("/stream/own", std::to_string(100 * i + j)));
+        }
+        fleet.run(20ms);
+        fleet.ask(0, fleet.request(kStream));
+        fleet.run(800ms);
+    }
+    EXPECT_LE(fleet.arrivals(kStream), kMostCrashes);
+}
+
 TEST(CrashingRequestLoad, AResetConnectionIsNoRunnersEnd)
 {
     CrashFleet fleet({});
--- a/testing/harness/crashfleet.cpp
+++ b/testing/harness/crashfleet.cpp
@@ -63,6 +63,7 @@
         m_runners.push_back(std::make_unique<PlatformRunner>(context, "i-" + std::to_string(i)));
         PlatformRunner &runner = *m_runners.back();
         runner.work = options.work;
+        runner.lossy = options.lossy;
         runner.act = [this, i](const HttpRequest &request) {
             return choose(i, request);
         };
