--- a/fulmarlink/requestfingerprint.h
+++ b/fulmarlink/requestfingerprint.h
@@ -37,7 +37,7 @@
     auto operator<=>(const RequestFingerprint &) const = default; // NOLINT(modernize-use-nullptr): as at TargetLife
 };
 
-/** O(bytes of @p identity), some 10 GB/s. */
+/** O(bytes of @p identity). */
 RequestFingerprint fingerprintOf(const RequestIdentity &identity);
 
 } // namespace fulmarlink
--- a/fulmarlink/runnerattempts.h
+++ b/fulmarlink/runnerattempts.h
@@ -51,7 +51,7 @@
 
     void forgetOld(TimePoint now);
 
-    std::map<Token, Attempt> m_attempts; ///< some 60 on a busy host
+    std::map<Token, Attempt> m_attempts;
     Token m_last = 0;
 };
 
