A line tells when a runner's limit is first known, changes and ends

Cause: a runner names in its answers how many requests a second it takes from all hosts together; no line or counter had it, so the incident's lines could not tell whether nobody knew it or each host took the whole of it. Change: the header is decoded once, in platform/; what is no number of requests a second changes nothing and is told of once a life. Nothing is decided by it yet. The stand-in of a runner names a limit if it is told to.

--- a/fulmarlink/callerprotocol.h
+++ b/fulmarlink/callerprotocol.h
@@ -47,6 +47,9 @@
     std::optional<TargetLoad> load;
     std::optional<std::chrono::seconds> keepAlive; ///< how long the runner keeps an idle connection
     std::string faultyTarget; ///< the runner that a refusal or failure is due to; empty: not said
+    std::optional<double> requestLimit; ///< requests a second that the runner takes from all hosts together; absent: it names none that makes sense
+    std::string malformedLimit; ///< what it names instead of such a number; empty: nothing
+    bool speaksForTarget = true; ///< the answer is of the runner that the request was sent to
 };
 
 /**
--- a/fulmarlink/gateway.cpp
+++ b/fulmarlink/gateway.cpp
@@ -60,6 +60,7 @@
     , m_state(std::move(settings), m_clock, m_counters, *m_edges.protocol)
     , m_connections(context.get_executor(), m_clock, m_counters)
     , m_crashWatch(context, m_state, *m_edges.platform)
+    , m_limitWatch(m_state)
     , m_server(context.get_executor(), m_state)
     , m_configVersion(m_counters.registerCounter("fulmarlink_rules_version"))
     , m_proofAge(m_counters.registerCounter("fulmarlink_configuration_proof_age_ms"))
@@ -68,6 +69,7 @@
 {
     m_state.connections = &m_connections;
     m_state.crashWatch = &m_crashWatch;
+    m_state.limitWatch = &m_limitWatch;
 }
 
 Gateway::~Gateway() = default;
--- a/fulmarlink/gateway.h
+++ b/fulmarlink/gateway.h
@@ -12,6 +12,7 @@
 #include "fulmarlink/gatewayserver.h"
 #include "fulmarlink/gatewaystate.h"
 #include "fulmarlink/hostclock.h"
+#include "fulmarlink/limitwatch.h"
 #include "fulmarlink/targetconnections.h"
 
 namespace fulmarlink
@@ -77,6 +78,7 @@
     GatewayState m_state;
     TargetConnections m_connections;
     CrashWatch m_crashWatch;
+    LimitWatch m_limitWatch;
     GatewayServer m_server;
     std::shared_ptr<HttpServer> m_readiness;
     std::shared_ptr<HttpServer> m_metrics;
--- a/fulmarlink/gatewayexchange.cpp
+++ b/fulmarlink/gatewayexchange.cpp
@@ -364,6 +364,7 @@
         m_runnerEnded = false;
         m_eventsBefore = m_events.events();
         m_attempt = m_state.attempts.sent({target.id, target.born}, suspect());
+        m_attemptSent = m_state.clock.now();
         const bool written = co_await write(*connection, target);
         if (written) {
             end = co_await readAnswer(*connection, target);
--- a/fulmarlink/gatewayrelay.cpp
+++ b/fulmarlink/gatewayrelay.cpp
@@ -18,6 +18,7 @@
 #include <boost/beast/http/write.hpp>
 #include <charconv>
 
+#include "fulmarlink/limitwatch.h"
 #include "fulmarlink/mutation.h"
 
 namespace fulmarlink
@@ -144,6 +145,7 @@
             continue;
         }
         const TimePoint now = m_state.clock.now();
+        m_state.limitWatch->answered(target, answer, m_attemptSent, m_facts.attemptId);
         if (answer.load) {
             m_state.targets.loadReported(target.id, *answer.load, now);
         }
--- a/fulmarlink/gatewaystate.h
+++ b/fulmarlink/gatewaystate.h
@@ -14,6 +14,7 @@
 #include "fulmarlink/latencyhistogram.h"
 #include "fulmarlink/poolgate.h"
 #include "fulmarlink/runnerattempts.h"
+#include "fulmarlink/runnerlimits.h"
 #include "fulmarlink/targettable.h"
 #include "fulmarlink/windowbudget.h"
 
@@ -22,6 +23,7 @@
 
 class CallerProtocol;
 class CrashWatch;
+class LimitWatch;
 class TargetConnections;
 
 /** One pool as this entry sees it. */
@@ -66,6 +68,8 @@
     RunnerAttempts attempts;
     CrashHistory crashes; ///< of requests under which runners ended, as all hosts know it
     CrashWatch *crashWatch = nullptr;
+    RunnerLimits limits; ///< that runners have named
+    LimitWatch *limitWatch = nullptr;
     bool crashesKnown = false; ///< what other hosts had written before this process started has been read; no request is taken before
     std::map<std::string, PoolState> pools;
     Random random;
--- a/standins/platformfleet.cpp
+++ b/standins/platformfleet.cpp
@@ -361,7 +361,12 @@
 std::string PlatformRunner::head(const HttpRequest &request, const std::string &status, const std::string &extra) const
 {
     return "HTTP/1.1 " + status + "\r\n" + line(wire_names::kAttemptId, header(request, wire_names::kAttemptId)) + line(wire_names::kLoad, "1,0,4")
-           + line("Keep-Alive", "timeout=5") + extra;
+           + line("Keep-Alive", "timeout=5") + limitLine() + extra;
+}
+
+std::string PlatformRunner::limitLine() const
+{
+    return limit.empty() ? std::string() : line(wire_names::kRequestLimit, limit);
 }
 
 asio::awaitable<bool> PlatformRunner::write(boost::beast::tcp_stream &stream, std::string text)
@@ -378,7 +383,7 @@
     const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     if (act == RunnerAct::Refuse || act == RunnerAct::Misdirected) {
         const std::string status = act == RunnerAct::Refuse ? "503 Service Unavailable" : "421 Misdirected Request";
-        co_return co_await write(stream, "HTTP/1.1 " + status + "\r\n" + line(wire_names::kNotRun, "1") + "Content-Length: 0\r\n\r\n");
+        co_return co_await write(stream, "HTTP/1.1 " + status + "\r\n" + line(wire_names::kNotRun, "1") + limitLine() + "Content-Length: 0\r\n\r\n");
     }
     ran.push_back(header(request, wire_names::kAttemptId));
     co_await pause(work);
--- a/standins/platformfleet.h
+++ b/standins/platformfleet.h
@@ -112,6 +112,7 @@
     std::function<RunnerAct(const HttpRequest &)> act;
     std::chrono::milliseconds work{0}; ///< before an answer, and between events
     unsigned events = 6; ///< of a stream
+    std::string limit; ///< requests a second, as it names them in its answers; empty: it names none
     /** What it says of itself, fields of the platform's report; empty: it is in no group. */
     boost::json::object report;
     std::vector<std::string> ran; ///< ids of the attempts that were run
@@ -131,6 +132,7 @@
     boost::asio::awaitable<bool> write(boost::beast::tcp_stream &stream, std::string text);
     boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
     std::string head(const HttpRequest &request, const std::string &status, const std::string &extra) const;
+    std::string limitLine() const;
 
     boost::asio::io_context &m_context;
     std::string m_id;
--- a/testing/platformcodec_test.cpp
+++ b/testing/platformcodec_test.cpp
@@ -142,6 +142,36 @@
     EXPECT_EQ(answer.keepAlive->count(), 5);
 }
 
+TEST(PlatformCodec, ARunnersLimitIsOneDecimalNumber)
+{
+    const PlatformProtocol protocol;
+    const auto read = [&protocol](const std::vector<std::string> &values) {
+        http::fields head;
+        for (const std::string &value : values) {
+            head.insert("Server-Limit", value);
+        }
+        return protocol.readAnswer(200, head);
+    };
+    EXPECT_FALSE(read({}).requestLimit);
+    EXPECT_EQ(read({}).malformedLimit, "");
+    EXPECT_EQ(read({"0"}).requestLimit, 0.0);
+    EXPECT_EQ(read({" 1.25 "}).requestLimit, 1.25);
+    EXPECT_EQ(read({"1e9"}).requestLimit, 1e9);
+    for (const std::string &bad : {"", "-1", "nan", "inf", "1e999", "3 a second", "1,5", "0x10", "+2"}) {
+        EXPECT_FALSE(read({bad}).requestLimit) << bad;
+        EXPECT_NE(read({bad}).malformedLimit, "") << bad;
+    }
+    EXPECT_FALSE(read({"1", "2"}).requestLimit);
+    EXPECT_NE(read({"1", "2"}).malformedLimit, "");
+}
+
+TEST(PlatformCodec, AnAnswerOfAnotherRunnerSpeaksForNone)
+{
+    const PlatformProtocol protocol;
+    EXPECT_FALSE(protocol.readAnswer(421, {}).speaksForTarget);
+    EXPECT_TRUE(protocol.readAnswer(503, {}).speaksForTarget);
+}
+
 TEST(PlatformCodec, ARanksReport)
 {
     std::error_code error;
