--- a/testing/crashingrequest_test.cpp
+++ b/testing/crashingrequest_test.cpp
@@ -14,7 +14,7 @@
 #include <boost/json/parse.hpp>
 #include <gtest/gtest.h>
 
-#include "testing/harness/crashfleet.h"
+#include "testing/harness/gatewayfleet.h"
 
 namespace fulmarlink::testing
 {
@@ -43,9 +43,9 @@
 class CrashingRequest : public ::testing::TestWithParam<Case>
 {
 protected:
-    CrashFleetOptions options() const
+    GatewayFleetOptions options() const
     {
-        CrashFleetOptions result;
+        GatewayFleetOptions result;
         result.gateways = GetParam().gateways;
         result.sameId = GetParam().sameId;
         result.group = GetParam().group;
@@ -71,7 +71,7 @@
 
 TEST_P(CrashingRequest, RepeatsOneAfterTheOtherReachNoFourthRunner)
 {
-    CrashFleet fleet(options());
+    GatewayFleet fleet(options());
     ASSERT_TRUE(fleet.start());
     const std::string path = GetParam().path;
     for (unsigned repeat = 0; repeat < 12; ++repeat) {
@@ -88,7 +88,7 @@
 
 TEST_P(CrashingRequest, RepeatsAtAllHostsAtOnceReachNoRunnerOnceThreeHaveEnded)
 {
-    CrashFleet fleet(options());
+    GatewayFleet fleet(options());
     ASSERT_TRUE(fleet.start());
     const std::string path = GetParam().path;
     for (unsigned round = 0; round < 8; ++round) {
@@ -112,7 +112,7 @@
 constexpr const char *kStream = "/stream/crash";
 
 /** Repeats one after the other, each at another gateway, until @p repeats have been made. */
-void repeat(CrashFleet &fleet, unsigned repeats, unsigned gateways, const std::string &path = kStream)
+void repeat(GatewayFleet &fleet, unsigned repeats, unsigned gateways, const std::string &path = kStream)
 {
     for (unsigned i = 0; i < repeats; ++i) {
         ASSERT_TRUE(fleet.runUntilUp(4));
@@ -121,7 +121,7 @@
     }
 }
 
-std::string cleared(const CrashFleet &fleet)
+std::string cleared(const GatewayFleet &fleet)
 {
     std::string result;
     for (const std::string &name : fleet.store.names("fulmarlink-crashes")) {
@@ -134,7 +134,7 @@
 
 TEST(CrashingRequestAnswers, ARepeatIsRefusedAtOnceTrulyAndWithoutAnInvitation)
 {
-    CrashFleet fleet({});
+    GatewayFleet fleet({});
     ASSERT_TRUE(fleet.start());
     repeat(fleet, 3, 5);
     const auto began = std::chrono::steady_clock::now();
@@ -151,7 +151,7 @@
 
 TEST(CrashingRequestAnswers, TheAttemptWhoseRunnerEndedIsToldSoAndNotSentOn)
 {
-    CrashFleet fleet({});
+    GatewayFleet fleet({});
     ASSERT_TRUE(fleet.start());
     const Answer answer = fleet.ask(0, fleet.request("/again/crash"));
     EXPECT_EQ(answer.status, 502U);
@@ -161,7 +161,7 @@
 
 TEST(CrashingRequestKey, OtherPathsBodiesAndCustomersAreNotHeldBack)
 {
-    CrashFleet fleet({});
+    GatewayFleet fleet({});
     ASSERT_TRUE(fleet.start());
     repeat(fleet, 4, 5);
     ASSERT_LE(fleet.crashes(kStream), kMostCrashes);
@@ -178,7 +178,7 @@
 
 TEST(CrashingRequestLoad, TwoOfThemAtTheSameTimeAreBothHeldBack)
 {
-    CrashFleet fleet({});
+    GatewayFleet fleet({});
     ASSERT_TRUE(fleet.start());
     for (unsigned i = 0; i < 10; ++i) {
         ASSERT_TRUE(fleet.runUntilUp(4));
@@ -193,7 +193,7 @@
 // The load: callers ask for their status in the same words all the time, and runners end for causes of their own.
 TEST(CrashingRequestLoad, AWaveOfEndsWithAnotherCauseHoldsNobodyBack)
 {
-    CrashFleet fleet({.runners = 8, .work = 10ms});
+    GatewayFleet fleet({.runners = 8, .work = 10ms});
     ASSERT_TRUE(fleet.start());
     unsigned sent = 0;
     for (unsigned round = 0; round < 12; ++round) {
@@ -218,7 +218,7 @@
 // The load: the last packets of a runner that ended are lost, so that other attempts there seem to go on.
 TEST(CrashingRequestLoad, AnEndOfWhichOtherAttemptsDoNotHearIsNoticed)
 {
-    CrashFleet fleet({.runners = 8, .sameId = false, .back = 1500ms, .lossy = true, .work = 60ms});
+    GatewayFleet fleet({.runners = 8, .sameId = false, .back = 1500ms, .lossy = true, .work = 60ms});
     ASSERT_TRUE(fleet.start());
     for (unsigned i = 0; i < 8; ++i) {
         ASSERT_TRUE(fleet.runUntilUp(6));
@@ -234,7 +234,7 @@
 
 TEST(CrashingRequestLoad, AResetConnectionIsNoRunnersEnd)
 {
-    CrashFleet fleet({});
+    GatewayFleet fleet({});
     ASSERT_TRUE(fleet.start());
     for (unsigned i = 0; i < 6; ++i) {
         EXPECT_EQ(fleet.ask(i % 5, fleet.request("/again/reset")).status, 200U);
@@ -245,7 +245,7 @@
 
 TEST(CrashingRequestHosts, AHostThatStartsReadsWhatStandsBeforeItServes)
 {
-    CrashFleet fleet({.gateways = 3});
+    GatewayFleet fleet({.gateways = 3});
     ASSERT_TRUE(fleet.start());
     for (unsigned i = 0; i < 9; ++i) {
         ASSERT_TRUE(fleet.runUntilUp(4));
@@ -261,7 +261,7 @@
 
 TEST(CrashingRequestHosts, OneHostAloneTriesItAfterTheHoldAndItsCallerTimesDecideNothing)
 {
-    CrashFleet fleet({.runners = 8, .hold = 1000ms});
+    GatewayFleet fleet({.runners = 8, .hold = 1000ms});
     ASSERT_TRUE(fleet.start());
     repeat(fleet, 2, 2);
     ASSERT_EQ(fleet.crashes(kStream), 2U);
@@ -278,7 +278,7 @@
 
 TEST(CrashingRequestHosts, AnOperatorsReleaseLetsItRunAgainOnAllHosts)
 {
-    CrashFleet fleet({});
+    GatewayFleet fleet({});
     ASSERT_TRUE(fleet.start());
     repeat(fleet, 4, 5);
     ASSERT_EQ(fleet.ask(0, fleet.request(kStream)).status, 503U);
@@ -306,7 +306,7 @@
 
 TEST(CrashingRequestHosts, AllHostsAreLostAtOnceAndStillKnow)
 {
-    CrashFleet fleet({.gateways = 3});
+    GatewayFleet fleet({.gateways = 3});
     ASSERT_TRUE(fleet.start());
     repeat(fleet, 2, 3);
     for (unsigned gateway = 0; gateway < 3; ++gateway) {
@@ -325,7 +325,7 @@
 
 struct StoreCase {
     const char *name;
-    void (*harm)(CrashFleet &fleet);
+    void (*harm)(GatewayFleet &fleet);
 };
 
 void PrintTo(const StoreCase &value, std::ostream *out) // NOLINT(readability-identifier-naming): found by GoogleTest
@@ -342,7 +342,7 @@
 // What the store does while the ends are noted; each host holds to what it knows, and all know once the store is back.
 TEST_P(CrashingRequestStore, IsHarmedAndTheRequestIsHeldBackAllTheSame)
 {
-    CrashFleet fleet({});
+    GatewayFleet fleet({});
     ASSERT_TRUE(fleet.start());
     GetParam().harm(fleet);
     repeat(fleet, 3, 1); // at one host, which knows without the store
@@ -359,32 +359,32 @@
 INSTANTIATE_TEST_SUITE_P(Store,
                          CrashingRequestStore,
                          ::testing::Values(StoreCase{"Away",
-                                                     [](CrashFleet &fleet) {
+                                                     [](GatewayFleet &fleet) {
                                                          fleet.store.faults.refuseWith = 503;
                                                      }},
                                            StoreCase{"RefusesForItsRate",
-                                                     [](CrashFleet &fleet) {
+                                                     [](GatewayFleet &fleet) {
                                                          fleet.store.faults.refuseWith = 429;
                                                      }},
                                            StoreCase{"Slow",
-                                                     [](CrashFleet &fleet) {
+                                                     [](GatewayFleet &fleet) {
                                                          fleet.store.faults.delay = 200ms;
                                                      }},
                                            StoreCase{"LosesAnswers",
-                                                     [](CrashFleet &fleet) {
+                                                     [](GatewayFleet &fleet) {
                                                          fleet.store.faults.loseWrites = 2;
                                                      }},
                                            StoreCase{"ForgetsItsHistory",
-                                                     [](CrashFleet &fleet) {
+                                                     [](GatewayFleet &fleet) {
                                                          fleet.store.faults.forgetful = true;
                                                      }},
                                            StoreCase{"TurnsOneHostAway",
-                                                     [](CrashFleet &fleet) {
+                                                     [](GatewayFleet &fleet) {
                                                          fleet.storeProxies[0]->setMode(ProxyMode::Refuse);
                                                          fleet.storeProxies[0]->reset();
                                                      }},
                                            StoreCase{"IsSilentToOneHost",
-                                                     [](CrashFleet &fleet) {
+                                                     [](GatewayFleet &fleet) {
                                                          fleet.storeProxies[0]->setMode(ProxyMode::Silent);
                                                      }}),
                          [](const ::testing::TestParamInfo<StoreCase> &info) {
@@ -394,7 +394,7 @@
 // Other writers' records, and what a later version may write, hold nothing back and hide nothing.
 TEST(CrashingRequestStoreRecords, ThatCantBeReadAreLeftOut)
 {
-    CrashFleet fleet({.gateways = 3});
+    GatewayFleet fleet({.gateways = 3});
     for (const char *content : {R"({})",
                                 R"(7)",
                                 R"("text")",
@@ -417,7 +417,7 @@
 // The last record of a rare end comes while watches hear nothing: it is known when all records are read anew.
 TEST(CrashingRequestStoreRecords, ThatAWatchDidNotTellOfAreReadAfterAWhile)
 {
-    CrashFleet fleet({});
+    GatewayFleet fleet({});
     ASSERT_TRUE(fleet.start());
     fleet.store.faults.deaf = true;
     repeat(fleet, 2, 1);
--- a/testing/harness/gatewayfleet.cpp
+++ b/testing/harness/gatewayfleet.cpp
@@ -1,4 +1,4 @@
-#include "testing/harness/crashfleet.h"
+#include "testing/harness/gatewayfleet.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -49,12 +49,13 @@
 
 } // namespace
 
-CrashFleet::CrashFleet(CrashFleetOptions options)
+GatewayFleet::GatewayFleet(GatewayFleetOptions options)
     : store(context)
     , m_options(options)
     , m_up(options.runners, true)
     , m_killer(options.runners)
     , m_hosts(options.gateways)
+    , m_arrivalsAt(options.runners)
 {
     startLogging(std::getenv("FULMARLINK_TEST_LOG") != nullptr ? "info" : "off"); // NOLINT(concurrency-mt-unsafe): before any thread
     const HttpTarget address = store.listen();
@@ -91,19 +92,20 @@
     }
 }
 
-CrashFleet::~CrashFleet() = default;
+GatewayFleet::~GatewayFleet() = default;
 
-void CrashFleet::list(unsigned runner)
+void GatewayFleet::list(unsigned runner)
 {
     json::object entry = standins::runnerEntry("plain", m_addresses[runner], kSlots);
     entry["born"] = m_born + ++m_lives;
     store.set("servers", m_runners[runner]->id(), entry);
 }
 
-RunnerAct CrashFleet::choose(unsigned runner, const HttpRequest &request)
+RunnerAct GatewayFleet::choose(unsigned runner, const HttpRequest &request)
 {
     const std::string path(request.target());
     m_arrivals[path].push_back(std::chrono::steady_clock::now());
+    m_arrivalsAt[runner].push_back(std::chrono::steady_clock::now());
     const bool firstTry = m_reset.insert(std::string(request["Attempt-Id"])).second;
     if (path.find("reset") != std::string::npos && firstTry) {
         return RunnerAct::ResetUnanswered;
@@ -115,19 +117,19 @@
     return RunnerAct::Crash;
 }
 
-void CrashFleet::crashRunner(unsigned index)
+void GatewayFleet::crashRunner(unsigned index)
 {
     m_runners[index]->end();
     ended(index);
 }
 
-void CrashFleet::ended(unsigned runner)
+void GatewayFleet::ended(unsigned runner)
 {
     m_up[runner] = false;
     asio::co_spawn(context, comeBack(runner), asio::detached);
 }
 
-asio::awaitable<void> CrashFleet::comeBack(unsigned runner)
+asio::awaitable<void> GatewayFleet::comeBack(unsigned runner)
 {
     boost::system::error_code ignored; // the timers are not cancelled
     const std::string before = m_runners[runner]->id();
@@ -146,7 +148,7 @@
     }
 }
 
-bool CrashFleet::start()
+bool GatewayFleet::start()
 {
     for (unsigned i = 0; i < m_options.gateways; ++i) {
         startGateway(i);
@@ -160,7 +162,7 @@
         kReadyLimit);
 }
 
-void CrashFleet::startGateway(unsigned index)
+void GatewayFleet::startGateway(unsigned index)
 {
     Host &host = m_hosts[index];
     host.counters = std::make_unique<Counters>();
@@ -174,14 +176,14 @@
     host.gateway->start();
 }
 
-void CrashFleet::killGateway(unsigned index)
+void GatewayFleet::killGateway(unsigned index)
 {
     Host &host = m_hosts[index];
     host.gateway.reset();
     host.context.reset();
 }
 
-HttpRequest CrashFleet::request(const std::string &path, const std::string &body, const std::string &key)
+HttpRequest GatewayFleet::request(const std::string &path, const std::string &body, const std::string &key)
 {
     HttpRequest result(http::verb::post, path, 11);
     result.set(http::field::host, "h.example");
@@ -193,14 +195,14 @@
     return result;
 }
 
-std::shared_ptr<Answer> CrashFleet::send(unsigned gateway, HttpRequest message, std::shared_ptr<bool> done)
+std::shared_ptr<Answer> GatewayFleet::send(unsigned gateway, HttpRequest message, std::shared_ptr<bool> done)
 {
     auto answer = std::make_shared<Answer>();
     asio::co_spawn(context, callOnce(context, m_hosts[gateway].settings.callers, std::move(message), answer, std::move(done)), asio::detached);
     return answer;
 }
 
-Answer CrashFleet::ask(unsigned gateway, HttpRequest message)
+Answer GatewayFleet::ask(unsigned gateway, HttpRequest message)
 {
     const auto done = std::make_shared<bool>(false);
     const auto answer = send(gateway, std::move(message), done);
@@ -213,7 +215,7 @@
 }
 
 /** One turn of every context. */
-void CrashFleet::poll()
+void GatewayFleet::poll()
 {
     context.run_for(1ms);
     for (const Host &host : m_hosts) {
@@ -223,7 +225,7 @@
     }
 }
 
-void CrashFleet::run(std::chrono::milliseconds time)
+void GatewayFleet::run(std::chrono::milliseconds time)
 {
     runUntil(
         [] {
@@ -232,7 +234,7 @@
         time);
 }
 
-bool CrashFleet::runUntilUp(unsigned runners)
+bool GatewayFleet::runUntilUp(unsigned runners)
 {
     return runUntil(
         [this, runners] {
@@ -241,18 +243,28 @@
         kReadyLimit);
 }
 
-unsigned CrashFleet::up() const
+PlatformRunner &GatewayFleet::runner(unsigned index)
+{
+    return *m_runners[index];
+}
+
+const std::vector<GatewayFleet::Time> &GatewayFleet::arrivalsAt(unsigned runner) const
+{
+    return m_arrivalsAt[runner];
+}
+
+unsigned GatewayFleet::up() const
 {
     return static_cast<unsigned>(std::ranges::count(m_up, true));
 }
 
-std::size_t CrashFleet::crashes(const std::string &path) const
+std::size_t GatewayFleet::crashes(const std::string &path) const
 {
     const auto it = m_crashes.find(path);
     return it == m_crashes.end() ? 0 : it->second.size();
 }
 
-std::size_t CrashFleet::arrivals(const std::string &path, Time after) const
+std::size_t GatewayFleet::arrivals(const std::string &path, Time after) const
 {
     const auto it = m_arrivals.find(path);
     if (it == m_arrivals.end()) {
@@ -263,19 +275,19 @@
     }));
 }
 
-CrashFleet::Time CrashFleet::crashedAt(const std::string &path, std::size_t number) const
+GatewayFleet::Time GatewayFleet::crashedAt(const std::string &path, std::size_t number) const
 {
     return m_crashes.at(path).at(number - 1);
 }
 
-bool CrashFleet::ran(const std::string &attemptId) const
+bool GatewayFleet::ran(const std::string &attemptId) const
 {
     return std::ranges::any_of(m_runners, [&](const auto &runner) {
         return std::ranges::find(runner->ran, attemptId) != runner->ran.end();
     });
 }
 
-std::uint64_t CrashFleet::count(const std::string &counter) const
+std::uint64_t GatewayFleet::count(const std::string &counter) const
 {
     std::uint64_t sum = 0;
     for (const Host &host : m_hosts) {
--- a/testing/harness/gatewayfleet.h
+++ b/testing/harness/gatewayfleet.h
@@ -17,7 +17,7 @@
 namespace fulmarlink::testing
 {
 
-struct CrashFleetOptions {
+struct GatewayFleetOptions {
     unsigned gateways = 5;
     unsigned runners = 6;
     bool sameId = true; ///< a runner that starts again has the id that it had
@@ -30,20 +30,20 @@
 };
 
 /**
- * Several gateways before one pool whose runners end when they begin certain requests and
- * start again after a while. The store and the runners are stand-ins; each gateway reaches
- * the store through a proxy of its own. For one thread.
+ * Several gateways before one pool, whose runners may name a limit in their answers, or end
+ * when they begin certain requests and start again after a while. The store and the runners
+ * are stand-ins; each gateway reaches the store through a proxy of its own. For one thread.
  *
  * A request whose path contains "crash" ends each runner that begins it; "reset" has the connection of its first try reset. What the runners
  * saw is counted here, apart from what the gateways say of themselves.
  */
-class CrashFleet
+class GatewayFleet
 {
 public:
     using Time = std::chrono::steady_clock::time_point;
 
-    explicit CrashFleet(CrashFleetOptions options);
-    ~CrashFleet();
+    explicit GatewayFleet(GatewayFleetOptions options);
+    ~GatewayFleet();
 
     /** False if the gateways are not ready in time. */
     bool start();
@@ -71,6 +71,10 @@
     /** Ends a runner for a cause of its own. */
     void crashRunner(unsigned index);
 
+    standins::PlatformRunner &runner(unsigned index);
+    /** When requests reached a runner, run or not, the earliest first. */
+    const std::vector<Time> &arrivalsAt(unsigned runner) const;
+
     unsigned up() const;
     /** Runners that requests of @p path have ended. */
     std::size_t crashes(const std::string &path) const;
@@ -100,7 +104,7 @@
     standins::RunnerAct choose(unsigned runner, const HttpRequest &request);
     void poll();
 
-    const CrashFleetOptions m_options;
+    const GatewayFleetOptions m_options;
     const HostClock m_clock;
     std::vector<std::unique_ptr<standins::PlatformRunner>> m_runners;
     std::vector<HttpTarget> m_addresses;
@@ -108,6 +112,7 @@
     std::vector<std::string> m_killer; ///< by runner: the path that it began last and that ends it
     std::vector<Host> m_hosts;
     std::map<std::string, std::vector<Time>> m_arrivals; ///< by path
+    std::vector<std::vector<Time>> m_arrivalsAt; ///< by runner
     std::map<std::string, std::vector<Time>> m_crashes; ///< by path
     std::set<std::string> m_reset; ///< attempts that a runner has seen
     std::uint64_t m_born = 1'790'000'000'000;
