Failing tests: two more bounds that are felt as a sum over hosts

The same cause as that of limits that runners name: a receiver feels the sum, each host holds the bound alone. Sixteen hosts keep 96 connections to a runner that takes 40 from all callers (allowed and decoded, used nowhere), and where runners name another limit in each answer they write 273 records a second into the store (aim: 100, a quarter of a small store's rate). The pace of records on crashes is the same, 20 a second from each host.

--- a/standins/platformfleet.cpp
+++ b/standins/platformfleet.cpp
@@ -311,6 +311,11 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+std::size_t PlatformRunner::openConnections() const
+{
+    return m_open.size();
+}
+
 asio::awaitable<void> PlatformRunner::serve(tcp::socket socket)
 {
     boost::beast::tcp_stream stream(std::move(socket));
--- a/standins/platformfleet.h
+++ b/standins/platformfleet.h
@@ -118,6 +118,7 @@
     boost::json::object report;
     std::vector<std::string> ran; ///< ids of the attempts that were run
     std::vector<HttpRequest> seen; ///< all requests that arrived, but for those of its report
+    std::size_t openConnections() const;
     std::size_t connections = 0; ///< that were opened to it
     unsigned reports = 0; ///< times that its report was read
     unsigned abandoned = 0; ///< streams whose connection closed before their end
--- a/testing/harness/gatewayfleet.cpp
+++ b/testing/harness/gatewayfleet.cpp
@@ -32,7 +32,7 @@
 constexpr auto kAnswerLimit = 8s;
 
 /** A wide retry budget: it must not be what keeps a request from runners here. */
-json::value configuration(bool group)
+json::value configuration(const GatewayFleetOptions &options)
 {
     json::value result = json::parse(R"({"version":3,
 "routes":[
@@ -41,7 +41,8 @@
  {"name":"stream","host":"h.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":4000,"slo_ms":500,"gap_target_ms":120,"resumable":true,"priority":1,"service":"plain","max_attempts":3}],
 "services":[{"name":"plain","max_conns":1000}],
 "tenants":[{"name":"customer","api_keys":["key"]},{"name":"other","api_keys":["other-key"]}]})");
-    if (group) {
+    result.at("services").at(0).as_object()["max_conns"] = options.maxConnections;
+    if (options.group) {
         result.at("services").at(0).as_object()["engine"] = json::object{{"slots", kSlots}, {"sets", 1}, {"experts", 4}, {"placements", 2}};
     }
     return result;
@@ -59,7 +60,7 @@
 {
     startLogging(std::getenv("FULMARLINK_TEST_LOG") != nullptr ? "info" : "off"); // NOLINT(concurrency-mt-unsafe): before any thread
     const HttpTarget address = store.listen();
-    store.set("config", "main", configuration(options.group));
+    store.set("config", "main", configuration(options));
     for (unsigned i = 0; i < options.runners; ++i) {
         m_runners.push_back(std::make_unique<PlatformRunner>(context, "i-" + std::to_string(i)));
         PlatformRunner &runner = *m_runners.back();
--- a/testing/harness/gatewayfleet.h
+++ b/testing/harness/gatewayfleet.h
@@ -26,6 +26,7 @@
     std::chrono::milliseconds lapse{700}; ///< from a runner's end until its entry goes, if it has not started again
     std::chrono::milliseconds hold{300'000}; ///< as in the gateways' settings
     bool lossy = false; ///< of a runner that ends, callers hear on the connection of the request that ended it alone
+    unsigned maxConnections = 1000; ///< that a runner takes from all hosts together, as the configuration says
     std::chrono::milliseconds work{3}; ///< of a runner before an answer, and between events
 };
 
