The soak has runners that name a limit

One runner after the other names 3 requests a second for 8 to 12 s while gateways are killed, frozen and restarted and connections harmed; the sum that it gets from 3 s on is held against the platform's bound of 23 in 4 s.

--- a/testing/soak_main.cpp
+++ b/testing/soak_main.cpp
@@ -2,6 +2,7 @@
 // testing/soak.sh starts it and the gateways, which it stops, pauses, kills and restarts by
 // signals. It ends with 0 if every promise held, as callers and runners saw it.
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -43,6 +44,10 @@
 constexpr unsigned kCallers = 24;
 constexpr unsigned kEvents = 8; ///< of a stream
 constexpr auto kRevokeBound = 5000ms;
+constexpr const char *kLimit = "3"; ///< requests a second from all gateways together, as a runner in need names it
+constexpr auto kLimitKnown = 3000ms; ///< from when on it is held
+constexpr auto kLimitSpan = 4000ms;
+constexpr std::size_t kMostInLimitSpan = 23; ///< one and a half times what the limit allows, and 5
 constexpr auto kPatience = 6000ms; ///< of a caller, far beyond every route's time
 
 enum class Kind : std::uint8_t {
@@ -59,6 +64,13 @@
     unsigned status = 0;
 };
 
+/** A time in which a runner named its limit. */
+struct LimitedTime {
+    unsigned runner = 0;
+    Clock::time_point from;
+    Clock::time_point until;
+};
+
 /** Each time another port that is free; below the range of outgoing connections, apart from other soaks on this machine. */
 std::uint16_t freePort()
 {
@@ -100,6 +112,7 @@
         prepare();
         asio::co_spawn(m_context, trouble(), asio::detached);
         asio::co_spawn(m_context, operatorLoop(), asio::detached);
+        asio::co_spawn(m_context, limits(), asio::detached);
         for (unsigned i = 0; i < kCallers; ++i) {
             asio::co_spawn(m_context, caller(i), asio::detached);
         }
@@ -140,7 +153,8 @@
             PlatformRunner &runner = *m_runners.back();
             runner.events = kEvents;
             runner.work = 5ms;
-            runner.act = [this](const HttpRequest &) {
+            runner.act = [this, i](const HttpRequest &) {
+                m_arrivals[i].push_back(Clock::now());
                 return chooseAct();
             };
             const HttpTarget address = proxy(runner.listen()).listen();
@@ -236,6 +250,48 @@
         m_store.faults.refuseWith = 0;
     }
 
+    /** One runner after the other is in need for some seconds. */
+    asio::awaitable<void> limits()
+    {
+        while (!over()) {
+            co_await sleep(std::chrono::milliseconds(200 + pick(800)));
+            LimitedTime time{pick(kRunners), Clock::now(), {}};
+            m_runners[time.runner]->limit = kLimit;
+            co_await sleep(std::chrono::milliseconds(8000 + pick(4000)));
+            m_runners[time.runner]->limit.clear();
+            time.until = Clock::now();
+            m_limitedTimes.push_back(time);
+        }
+    }
+
+    /** The most that a runner got in any span of a time in which it named its limit. */
+    std::size_t mostWithinLimit(const LimitedTime &time) const
+    {
+        const auto &arrivals = m_arrivals.at(time.runner);
+        std::size_t most = 0;
+        auto first = std::ranges::lower_bound(arrivals, time.from + kLimitKnown);
+        for (auto last = first; last != arrivals.end() && *last <= time.until; ++last) {
+            while (*last - *first >= kLimitSpan) {
+                ++first;
+            }
+            most = std::max(most, static_cast<std::size_t>(last - first) + 1);
+        }
+        return most;
+    }
+
+    void judgeLimits()
+    {
+        std::size_t most = 0;
+        for (const LimitedTime &time : m_limitedTimes) {
+            const std::size_t got = mostWithinLimit(time);
+            most = std::max(most, got);
+            if (got > kMostInLimitSpan) {
+                broken("runner " + std::to_string(time.runner) + " named a limit and got " + std::to_string(got) + " in 4 s");
+            }
+        }
+        std::cout << "limited " << m_limitedTimes.size() << " times, at most " << most << " in 4 s\n";
+    }
+
     HttpRequest request(Kind kind, const std::string &id, const std::string &key) const
     {
         static constexpr auto kPaths = std::to_array<const char *>({"/once/x", "/again/x", "/stream/x"});
@@ -347,6 +403,7 @@
                 broken(id + " ran with a key that had been taken");
             }
         }
+        judgeLimits();
         std::cout << "attempts " << m_attempts.size() << ", run " << runs.size();
         for (const auto &[status, count] : m_answers) {
             std::cout << ", " << status << ": " << count;
@@ -373,6 +430,8 @@
     std::map<std::string, Clock::time_point> m_taken; ///< by key
     std::map<std::string, Attempt> m_attempts; ///< by id
     std::map<unsigned, unsigned> m_answers; ///< by status
+    std::map<unsigned, std::vector<Clock::time_point>> m_arrivals; ///< by runner
+    std::vector<LimitedTime> m_limitedTimes;
     std::vector<std::string> m_broken;
     std::uint64_t m_version = 0;
     std::uint64_t m_lastId = 0;
