--- a/app/commands.h
+++ b/app/commands.h
@@ -13,6 +13,7 @@
 ExitCode runExplain(int argc, const char **argv);
 ExitCode runCtl(int argc, const char **argv);
 ExitCode runHeld(int argc, const char **argv);
+ExitCode runLimited(int argc, const char **argv);
 ExitCode runDemo(int argc, const char **argv);
 ExitCode runStandin(int argc, const char **argv);
 
--- a/app/held.cpp
+++ b/app/held.cpp
@@ -1,9 +1,6 @@
 // held: requests that reach no runner since runners ended under them, as the store's records
 // tell, and their release by an operator.
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/use_future.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -11,11 +8,10 @@
 
 #include "app/commands.h"
 #include "app/parsetarget.h"
+#include "app/storesession.h"
 #include "fulmarlink/crashhistory.h"
-#include "fulmarlink/hostclock.h"
 #include "fulmarlink/log.h"
 #include "fulmarlink/resultcode.h"
-#include "platform/platformclient.h"
 
 namespace fulmarlink
 {
@@ -23,51 +19,10 @@
 namespace
 {
 
-namespace asio = boost::asio;
 namespace json = boost::json;
 
 constexpr const char *kOperator = "operator"; ///< stands where a record has its host
 
-/** The store, asked from outside of any gateway. */
-class StoreSession
-{
-public:
-    explicit StoreSession(const HttpTarget &store)
-        : m_client(m_context.get_executor(), m_clock, m_counters, {.store = store})
-    {
-    }
-
-    SharedRecordsRead records()
-    {
-        return wait(m_client.readSharedRecords());
-    }
-
-    std::error_code write(CrashRecord record)
-    {
-        return wait(m_client.writeCrashRecord(std::move(record)));
-    }
-
-    TimePoint now() const
-    {
-        return m_clock.now();
-    }
-
-private:
-    template<typename Result>
-    Result wait(asio::awaitable<Result> call)
-    {
-        auto result = asio::co_spawn(m_context, std::move(call), asio::use_future);
-        m_context.restart();
-        m_context.run();
-        return result.get();
-    }
-
-    asio::io_context m_context{1};
-    HostClock m_clock;
-    Counters m_counters;
-    PlatformClient m_client;
-};
-
 std::string livesText(const HeldRequest &request)
 {
     std::string result;
