A store that does not hold calls open is not asked again without a pause

Cause: the loop that waits for other hosts' records asked again at once when its held-open call came back with nothing. Change: such an answer is followed by the pause that follows a refusal.

--- a/fulmarlink/crashwatch.cpp
+++ b/fulmarlink/crashwatch.cpp
@@ -128,7 +128,11 @@
             continue;
         }
         revision = read.revision;
+        const bool nothing = read.crashes.empty() && read.limits.empty() && read.limitsEnded.empty();
         take(std::move(read));
+        if (nothing && m_state.clock.now() - began < kStoreRetry) { // it does not hold answers back: it must not be asked without a pause
+            co_await sleep(retryPause());
+        }
         if (m_state.clock.now() - droppedOld >= kDropOld) {
             droppedOld = m_state.clock.now();
             co_await dropOld();
--- a/standins/platformfleet.cpp
+++ b/standins/platformfleet.cpp
@@ -174,7 +174,7 @@
     const std::uint64_t since = numberIn(query, "watch=");
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(numberIn(query, "wait_ms="));
     json::array events;
-    while (events.empty() && std::chrono::steady_clock::now() < end) {
+    while (!faults.hasty && events.empty() && std::chrono::steady_clock::now() < end) {
         boost::system::error_code ignored; // the timer is not cancelled
         asio::steady_timer timer(m_context, kWatchStep);
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
--- a/standins/platformfleet.h
+++ b/standins/platformfleet.h
@@ -24,6 +24,7 @@
     unsigned loseWrites = 0; ///< so many writes are done and not answered
     bool forgetful = false; ///< what is asked to be watched from is gone
     bool deaf = false; ///< watches hear of nothing
+    bool hasty = false; ///< watches are answered at once, with nothing
     std::chrono::milliseconds delay{0};
 };
 
--- a/testing/crashingrequest_test.cpp
+++ b/testing/crashingrequest_test.cpp
@@ -106,6 +106,17 @@
 
 INSTANTIATE_TEST_SUITE_P(Fleet, CrashingRequest, kCases, caseName);
 
+TEST(CrashingRequestStore, AStoreThatAnswersHeldOpenCallsAtOnceIsNotAskedAtOnceAgain)
+{
+    GatewayFleet fleet({.gateways = 1, .runners = 1});
+    fleet.store.faults.hasty = true;
+    ASSERT_TRUE(fleet.start());
+    fleet.run(1500ms);
+    const unsigned before = fleet.store.calls;
+    fleet.run(2000ms);
+    EXPECT_LE(fleet.store.calls - before, 40U);
+}
+
 namespace
 {
 
