An attempt's line tells the Retry-After and the load of the runner that refused it

Cause: a runner that turns a request away with 503 or 429 may name the seconds for which it wants nothing from this host; no line or counter had it, so the incident's lines could not tell whether it was read, nor when each time began and ended. Change: the header is decoded once, in platform/, into a duration (hard limit 24 h); what is no single decimal number is kept apart. event=attempt-ended has backoff_ms, running and waiting. Nothing is decided by it yet.

--- a/fulmarlink/callerprotocol.h
+++ b/fulmarlink/callerprotocol.h
@@ -41,6 +41,8 @@
 
 /** What the head of a runner's answer says. */
 struct RunnerAnswer {
+    static constexpr Duration kMaxBackoff = std::chrono::hours(24);
+
     std::string attemptId; ///< echoed; empty: none
     bool sealed = false; ///< the runner vouches for the answer
     bool notRun = false; ///< the runner proves that it did not run the request
@@ -49,6 +51,8 @@
     std::string faultyTarget; ///< the runner that a refusal or failure is due to; empty: not said
     std::optional<double> requestLimit; ///< requests a second that the runner takes from all hosts together; absent: it names none that makes sense
     std::string malformedLimit; ///< what it names instead of such a number; empty: nothing
+    std::optional<Duration> backoff; ///< with a refusal: how long the runner wants no other request from this host; absent: it names no time that makes sense
+    std::string malformedBackoff; ///< what it names instead of such a time; empty: nothing
     bool speaksForTarget = true; ///< the answer is of the runner that the request was sent to
 };
 
--- a/fulmarlink/gatewayexchange.cpp
+++ b/fulmarlink/gatewayexchange.cpp
@@ -377,6 +377,8 @@
         m_eventsBefore = m_events.events();
         m_attempt = m_state.attempts.sent({target.id, target.born}, suspect());
         m_attemptSent = m_state.clock.now();
+        m_backoff.reset();
+        m_toldLoad.reset();
         const bool written = co_await write(*connection, target);
         if (written) {
             end = co_await readAnswer(*connection, target);
@@ -408,6 +410,9 @@
                 {"born", std::to_string(target.born)},
                 {"group", m_group},
                 {"reason", m_reason},
+                {"backoff_ms", m_backoff ? msText(*m_backoff) : "none"},
+                {"running", m_toldLoad ? std::to_string(m_toldLoad->running) : "-"},
+                {"waiting", m_toldLoad ? std::to_string(m_toldLoad->waiting) : "-"},
                 {"sends", std::to_string(m_sends)},
                 {"ran", std::to_string(m_ran)},
                 {"ms", msText(now - began)},
--- a/fulmarlink/gatewayexchange.h
+++ b/fulmarlink/gatewayexchange.h
@@ -125,6 +125,8 @@
     bool m_runnerEnded = false; ///< of the last attempt, before the first part of its answer
     RunnerAttempts::Token m_attempt = 0; ///< the last one
     TimePoint m_attemptSent{}; ///< when the last one's request went out
+    std::optional<Duration> m_backoff; ///< that the runner of the last attempt asked for
+    std::optional<TargetLoad> m_toldLoad; ///< by the runner of the last attempt
     std::uint64_t m_eventsBefore = 0; ///< of a stream, from earlier attempts
     unsigned m_status = 0; ///< given to the caller; 0: nothing
     HttpResponse m_failure; ///< the last failure that a runner gave, for the caller
--- a/testing/platformcodec_test.cpp
+++ b/testing/platformcodec_test.cpp
@@ -165,6 +165,32 @@
     EXPECT_NE(read({"1", "2"}).malformedLimit, "");
 }
 
+TEST(PlatformCodec, ARunnersBackoffIsOneDecimalNumberOfSecondsInARefusal)
+{
+    const PlatformProtocol protocol;
+    const auto read = [&protocol](unsigned status, const std::vector<std::string> &values) {
+        http::fields head;
+        for (const std::string &value : values) {
+            head.insert("Retry-After", value);
+        }
+        return protocol.readAnswer(status, head);
+    };
+    EXPECT_FALSE(read(503, {}).backoff);
+    EXPECT_EQ(read(503, {}).malformedBackoff, "");
+    EXPECT_EQ(read(503, {"3"}).backoff, Duration(std::chrono::seconds(3)));
+    EXPECT_EQ(read(429, {" 0.25 "}).backoff, Duration(std::chrono::milliseconds(250)));
+    EXPECT_EQ(read(503, {"0"}).backoff, Duration(0));
+    EXPECT_EQ(read(503, {"1e300"}).backoff, Duration(RunnerAnswer::kMaxBackoff));
+    EXPECT_FALSE(read(200, {"3"}).backoff);
+    EXPECT_FALSE(read(421, {"3"}).backoff) << "another runner has the address";
+    for (const char *bad : {"", "-1", "nan", "inf", "soon", "3 s", "Fri, 31 Dec 1999 23:59:59 GMT"}) {
+        EXPECT_FALSE(read(503, {bad}).backoff) << bad;
+        EXPECT_NE(read(503, {bad}).malformedBackoff, "") << bad;
+    }
+    EXPECT_FALSE(read(503, {"1", "2"}).backoff);
+    EXPECT_NE(read(503, {"1", "2"}).malformedBackoff, "");
+}
+
 TEST(PlatformCodec, AnAnswerOfAnotherRunnerSpeaksForNone)
 {
     const PlatformProtocol protocol;
