A runner that answers 503 with Retry-After gets nothing from that host until then

What callers saw: while five of sixteen ranks turned hosts away and named 3 s, half of the streams were refused although eleven ranks had room; one rank got 17 requests from one host in those 3 s. Cause: nothing of a refusal was kept with the runner. Its request alone knew of it, and the next one went to the same runner, which looked the least loaded; refusals of some ranks also counted as a standstill of their group. A backoff is never shortened, ends for another life, and counts from the answer's arrival. After it slow start: one request of this host, twice as many with each one that is taken; a request that was refused before goes to proven runners; where hosts are more than slots they begin one after the other, by the time that the pool's requests take. Refusals that ask to back off do not count against the rank's group. Where all runners of a pool back off callers get 137 at once with a time to come back. Ruled out: telling other hosts by a record. Each host loses one send a backoff; a record costs a write and a reading by each host for a time of 1 to 3 s, and one host's would be the pool's.

--- a/fulmarlink/admission.cpp
+++ b/fulmarlink/admission.cpp
@@ -80,21 +80,28 @@
         }
         refused = true;
     }
-    if (!refused && state.targets.limited(pool, tried, now).runners > 0) {
-        result.decision = {false, ResultCode::RunnersLimited, Duration(0)};
+    const BlockedRunners blocked = refused ? BlockedRunners() : state.targets.blocked(pool, tried, now);
+    if (blocked.runners() > 0) {
+        result.decision = {false, blockedCode(blocked), Duration(0)};
     } else if (!refused) {
         result.decision = state.pool(pool).gate({}).decide({}, now, state.random);
     }
     return result;
 }
 
-Duration limitedRetryAfter(GatewayState &state, const std::string &pool)
+ResultCode blockedCode(const BlockedRunners &blocked)
+{
+    return blocked.backingOff > 0 ? ResultCode::RunnersBackingOff : ResultCode::RunnersLimited;
+}
+
+Duration blockedRetryAfter(GatewayState &state, const std::string &pool)
 {
     const TimePoint now = state.clock.now();
-    const LimitedRunners limited = state.targets.limited(pool, {}, now);
+    const BlockedRunners blocked = state.targets.blocked(pool, {}, now);
     // Every host sends callers away at about the rate that this one does, and they come back at any host.
-    const double perSecond = limited.perSecond / state.pacer.hosts();
-    const Duration soonest = limited.nextRoom ? *limited.nextRoom - now : Duration(0);
+    const double serviceSeconds = std::chrono::duration<double>(state.pool(pool).serviceTime.mean()).count();
+    const double perSecond = (blocked.limitedPerSecond + blocked.slots / serviceSeconds) / state.signals.pacer.hosts();
+    const Duration soonest = blocked.nextRoom ? *blocked.nextRoom - now : Duration(0);
     return state.pool(pool).returns.next(perSecond, soonest, now, state.random);
 }
 
--- a/fulmarlink/admission.h
+++ b/fulmarlink/admission.h
@@ -37,12 +37,15 @@
  * holds: its gate refuses after a few, and new ones go to the other groups.
  *
  * If all refuse, the answer is the refusal that lets the caller come back soonest. Where
- * only runners are left whose limits this host has used up it is RunnersLimited, and
- * limitedRetryAfter() tells when to come back.
+ * only runners are left that want no request from here now it is RunnersBackingOff or
+ * RunnersLimited, and blockedRetryAfter() tells when to come back.
  */
 Admission admitToPool(GatewayState &state, const std::string &pool, const RequestNeed &need, const std::set<std::string> &tried);
 
-/** For one more caller of @p pool that is sent away with RunnersLimited. */
-Duration limitedRetryAfter(GatewayState &state, const std::string &pool);
+/** What a caller is told where @p blocked are all runners that are left. */
+ResultCode blockedCode(const BlockedRunners &blocked);
+
+/** For one more caller of @p pool that is sent away for that reason. */
+Duration blockedRetryAfter(GatewayState &state, const std::string &pool);
 
 } // namespace fulmarlink
--- a/fulmarlink/callerprotocol.h
+++ b/fulmarlink/callerprotocol.h
@@ -53,6 +53,7 @@
     std::string malformedLimit; ///< what it names instead of such a number; empty: nothing
     std::optional<Duration> backoff; ///< with a refusal: how long the runner wants no other request from this host; absent: it names no time that makes sense
     std::string malformedBackoff; ///< what it names instead of such a time; empty: nothing
+    bool leaving = false; ///< the runner is about to end
     bool speaksForTarget = true; ///< the answer is of the runner that the request was sent to
 };
 
--- a/fulmarlink/gateway.cpp
+++ b/fulmarlink/gateway.cpp
@@ -66,6 +66,7 @@
     , m_connections(context.get_executor(), m_clock, m_counters)
     , m_crashWatch(context, m_state, *m_edges.platform)
     , m_limitWatch(context, m_state, *m_edges.platform)
+    , m_signalWatch(m_state)
     , m_server(context.get_executor(), m_state)
     , m_configVersion(m_counters.registerCounter("fulmarlink_rules_version"))
     , m_proofAge(m_counters.registerCounter("fulmarlink_configuration_proof_age_ms"))
@@ -75,6 +76,7 @@
     m_state.connections = &m_connections;
     m_state.crashWatch = &m_crashWatch;
     m_state.limitWatch = &m_limitWatch;
+    m_state.signalWatch = &m_signalWatch;
 }
 
 Gateway::~Gateway() = default;
@@ -308,7 +310,7 @@
             noteEntries(read, renews && !error, round >= kStartRounds);
         }
         const Duration least = round < kStartRounds ? kStartInterval : kLimitedInterval;
-        const bool soon = round < kStartRounds || read.error || m_state.limits.size() > 0;
+        const bool soon = round < kStartRounds || read.error || m_state.signals.limits.size() > 0;
         co_await sleep(jittered(soon ? least : std::max(least, m_renewEntryAt - m_clock.now())));
     }
 }
@@ -333,9 +335,11 @@
     for (;;) {
         co_await sleep(kHousekeeping);
         m_connections.sweep(m_state.targets);
+        m_signalWatch.sweep();
         if (m_clock.now() - m_droppedGone >= kDropGone) {
             m_droppedGone = m_clock.now();
             m_limitWatch.dropGone();
+            m_signalWatch.dropGone();
         }
         m_counters.set(m_requestsNow, m_state.exchanges);
         m_counters.set(m_proofAge, static_cast<std::uint64_t>(m_state.config.age(m_clock.now()).count() / 1000));
--- a/fulmarlink/gateway.h
+++ b/fulmarlink/gateway.h
@@ -14,6 +14,7 @@
 #include "fulmarlink/hostclock.h"
 #include "fulmarlink/limitwatch.h"
 #include "fulmarlink/livehosts.h"
+#include "fulmarlink/signalwatch.h"
 #include "fulmarlink/targetconnections.h"
 
 namespace fulmarlink
@@ -83,6 +84,7 @@
     TargetConnections m_connections;
     CrashWatch m_crashWatch;
     LimitWatch m_limitWatch;
+    SignalWatch m_signalWatch;
     GatewayServer m_server;
     std::shared_ptr<HttpServer> m_readiness;
     std::shared_ptr<HttpServer> m_metrics;
--- a/fulmarlink/gatewayanswer.cpp
+++ b/fulmarlink/gatewayanswer.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "fulmarlink/admission.h"
 #include "fulmarlink/gatewayexchange.h"
 #include "fulmarlink/log.h"
 
@@ -48,9 +49,9 @@
             co_await writeOwn(m_result, m_retryAfter);
             break;
         }
-        if (m_limited) {
-            m_result = ResultCode::RunnersLimited;
-            m_retryAfter = limitedRetryAfter(m_state, m_pool);
+        if (const BlockedRunners blocked = m_state.targets.blocked(m_pool, {}, m_state.clock.now()); blocked.free == 0 && blocked.runners() > 0) {
+            m_result = blockedCode(blocked);
+            m_retryAfter = blockedRetryAfter(m_state, m_pool);
             co_await writeOwn(m_result, m_retryAfter);
             break;
         }
--- a/fulmarlink/gatewayexchange.cpp
+++ b/fulmarlink/gatewayexchange.cpp
@@ -168,12 +168,10 @@
     m_admitted = admission.target;
     if (!admission.target) {
         m_reason = "load " + twoDecimals(admission.load) + " ceiling " + twoDecimals(admission.ceiling) + " runners " + std::to_string(admission.runners);
-        const bool limited = admission.decision.refusal == ResultCode::RunnersLimited;
-        if (limited) {
-            const LimitedRunners runners = m_state.targets.limited(m_pool, {}, m_arrived);
-            m_reason += " limited " + std::to_string(runners.runners) + " of " + twoDecimals(runners.perSecond) + " a second";
-        }
-        return refuse(admission.decision.refusal, limited ? limitedRetryAfter(m_state, m_pool) : admission.decision.retryAfter);
+        const BlockedRunners blocked = m_state.targets.blocked(m_pool, {}, m_arrived);
+        m_reason += " backing-off " + std::to_string(blocked.backingOff) + " limited " + std::to_string(blocked.limited);
+        const bool allBlocked = admission.decision.refusal == blockedCode(blocked);
+        return refuse(admission.decision.refusal, allBlocked ? blockedRetryAfter(m_state, m_pool) : admission.decision.retryAfter);
     }
     return true;
 }
@@ -279,7 +277,6 @@
     if (admission.target) {
         m_group = admission.group;
     }
-    m_limited = admission.decision.refusal == ResultCode::RunnersLimited;
     return admission.target;
 }
 
@@ -350,6 +347,20 @@
     co_return end;
 }
 
+/** The one place where requests go out to runners: first sends, repeats, resumed streams and trials alike. What the runner said while a connection was opened
+ * counts too. */
+RunnerObstacle GatewayExchange::takeRoom(const TargetInfo &target)
+{
+    const unsigned others = m_state.targets.ownRequests(target.id) - 1; // this request is counted there already
+    const RunnerObstacle found = m_state.signals.take({target.id, target.born}, others, m_state.clock.now());
+    if (found == RunnerObstacle::Limited) {
+        m_state.counters.add(m_state.limitedSends);
+    } else if (found != RunnerObstacle::None) {
+        m_state.counters.add(m_state.backoffSends);
+    }
+    return found;
+}
+
 asio::awaitable<AttemptEnd> GatewayExchange::sendTo(const TargetInfo &target)
 {
     AttemptEnd end = AttemptEnd::NotSent;
@@ -361,10 +372,8 @@
         m_reason = "leaving";
         connection->idleLimit = TargetConnections::kDefaultIdle;
         m_state.connections->release(connection);
-    } else if (!m_state.pacer.take({target.id, target.born}, m_state.clock.now())) {
-        // The one place where requests go out to runners: first tries, repeats, resumed streams and trials alike.
-        m_reason = "limited";
-        m_state.counters.add(m_state.limitedSends);
+    } else if (const RunnerObstacle found = takeRoom(target); found != RunnerObstacle::None) {
+        m_reason = runnerObstacleName(found);
         connection->idleLimit = TargetConnections::kDefaultIdle;
         m_state.connections->release(connection);
     } else {
@@ -397,6 +406,7 @@
     m_targets += (m_targets.empty() ? "" : ",") + target.id;
     if (end == AttemptEnd::Answered) {
         m_state.targets.succeeded(target.id);
+        m_state.pool(m_pool).serviceTime.seen(m_state.clock.now() - began);
         return;
     }
     if (m_gone) {
--- a/fulmarlink/gatewayexchange.h
+++ b/fulmarlink/gatewayexchange.h
@@ -67,6 +67,7 @@
     PoolGate &gate();
     boost::asio::awaitable<AttemptEnd> attempt(const TargetInfo &target);
     boost::asio::awaitable<AttemptEnd> sendTo(const TargetInfo &target);
+    RunnerObstacle takeRoom(const TargetInfo &target);
     boost::asio::awaitable<bool> write(TargetConnection &connection, const TargetInfo &target);
     boost::asio::awaitable<AttemptEnd> readAnswer(TargetConnection &connection, const TargetInfo &target);
     boost::asio::awaitable<boost::system::error_code> readHead(TargetConnection &connection, std::unique_ptr<AnswerParser> &parser);
@@ -120,7 +121,6 @@
     bool m_answerBegun = false;
     bool m_trial = false; ///< it is held back, and this host has a try
     bool m_heldBack = false; ///< since it was taken
-    bool m_limited = false; ///< only runners were left, when it was last looked for one, whose limits this host has used up
     bool m_cut = false; ///< the runner or the way to it broke the last attempt's connection
     bool m_runnerEnded = false; ///< of the last attempt, before the first part of its answer
     RunnerAttempts::Token m_attempt = 0; ///< the last one
--- a/fulmarlink/gatewayrelay.cpp
+++ b/fulmarlink/gatewayrelay.cpp
@@ -20,6 +20,7 @@
 
 #include "fulmarlink/limitwatch.h"
 #include "fulmarlink/mutation.h"
+#include "fulmarlink/signalwatch.h"
 
 namespace fulmarlink
 {
@@ -134,6 +135,7 @@
         const auto &head = parser->get();
         const RunnerAnswer answer = m_state.protocol.readAnswer(head.result_int(), head);
         connection.idleLimit = answer.keepAlive ? Duration(*answer.keepAlive) - TargetConnections::kIdleMargin : TargetConnections::kDefaultIdle;
+        m_state.signalWatch->answered(target, answer, m_facts.attemptId);
         const bool foreignAnswer = !answer.attemptId.empty() && answer.attemptId != m_facts.attemptId;
         if (foreignAnswer && !mutated(Mutation::TrustForeignAnswer)) {
             std::string dropped;
@@ -152,7 +154,9 @@
             m_state.targets.loadReported(target.id, *answer.load, now);
         }
         if (answer.notRun) {
-            gate().refusalSeen(now);
+            if (!answer.backoff) { // one that asks to back off speaks for itself alone
+                gate().refusalSeen(now);
+            }
             m_reason = "refused " + std::to_string(head.result_int()) + (answer.faultyTarget.empty() ? "" : " by " + answer.faultyTarget);
             std::string dropped;
             const boost::system::error_code dropError = co_await readBody(connection, *parser, dropped);
@@ -167,6 +171,7 @@
             co_return AttemptEnd::Broken;
         }
         gate().answerSeen(now);
+        m_state.signals.accepted({target.id, target.born}, m_attemptSent, target.slots);
         m_state.targets.heard(target.id, now);
         const bool stream = m_route.streaming && head.result_int() == 200 && isEventStream(head);
         AttemptEnd end = AttemptEnd::Broken;
--- a/fulmarlink/gatewaystate.cpp
+++ b/fulmarlink/gatewaystate.cpp
@@ -42,8 +42,9 @@
     , firstEvent(counters, "fulmarlink_first_event_ms")
     , eventPause(counters, "fulmarlink_event_pause_ms")
     , limitedSends(counters.registerCounter("fulmarlink_limited_sends_total"))
+    , backoffSends(counters.registerCounter("fulmarlink_backoff_sends_total"))
 {
-    targets.setPacer(&pacer);
+    targets.setSignals(&signals);
 }
 
 WindowBudgetOptions GatewayState::budgetOptions() const
--- a/fulmarlink/gatewaystate.h
+++ b/fulmarlink/gatewaystate.h
@@ -12,11 +12,11 @@
 #include "fulmarlink/crashhistory.h"
 #include "fulmarlink/gatewaysettings.h"
 #include "fulmarlink/latencyhistogram.h"
-#include "fulmarlink/limitpacer.h"
 #include "fulmarlink/poolgate.h"
 #include "fulmarlink/returnqueue.h"
 #include "fulmarlink/runnerattempts.h"
-#include "fulmarlink/runnerlimits.h"
+#include "fulmarlink/runnersignals.h"
+#include "fulmarlink/servicetime.h"
 #include "fulmarlink/targettable.h"
 #include "fulmarlink/windowbudget.h"
 
@@ -26,6 +26,7 @@
 class CallerProtocol;
 class CrashWatch;
 class LimitWatch;
+class SignalWatch;
 class TargetConnections;
 
 /** One pool as this entry sees it. */
@@ -40,7 +41,8 @@
 
     WindowBudget budget;
     std::map<std::string, PoolGate> gates; ///< by group name
-    ReturnQueue returns; ///< of callers that were sent away since its runners' limits were used up
+    ReturnQueue returns; ///< of callers that were sent away since its runners want no request now
+    ServiceTime serviceTime;
 };
 
 /** What all requests of one entry's process share. Used by one thread. */
@@ -75,8 +77,8 @@
     RunnerAttempts attempts;
     CrashHistory crashes; ///< of requests under which runners ended, as all hosts know it
     CrashWatch *crashWatch = nullptr;
-    RunnerLimits limits; ///< that runners have named
-    LimitPacer pacer; ///< this host's share of them
+    RunnerSignals signals; ///< what runners have said of the requests that they want
+    SignalWatch *signalWatch = nullptr;
     LimitWatch *limitWatch = nullptr;
     bool crashesKnown = false; ///< what other hosts had written before this process started has been read; no request is taken before
     std::map<std::string, PoolState> pools;
@@ -85,6 +87,7 @@
     LatencyHistogram firstEvent; ///< of a stream, from the last byte of its request
     LatencyHistogram eventPause; ///< between two events of a stream
     Counters::Id limitedSends; ///< of requests for which a runner had no room left when its connection was open
+    Counters::Id backoffSends; ///< the same, since it had asked to back off meanwhile
     unsigned entries = kEntriesUnknown; ///< entries that live and share budgets and bounds, this one included
     std::optional<TimePoint> drainBegan; ///< set: the process is leaving
     unsigned exchanges = 0; ///< requests that are not answered yet
--- a/fulmarlink/limitwatch.cpp
+++ b/fulmarlink/limitwatch.cpp
@@ -56,10 +56,10 @@
     if (!ownWord) {
         return;
     }
-    const NamedLimit *known = m_state.limits.find(life);
+    const NamedLimit *known = m_state.signals.limits.find(life);
     const NamedLimit before = known == nullptr ? NamedLimit{} : *known;
     const LimitEvidence evidence{answer.requestLimit, sent, m_state.clock.now(), attempt};
-    const LimitChange change = m_state.limits.answered(life, evidence);
+    const LimitChange change = m_state.signals.limits.answered(life, evidence);
     noteChange(life, change, before);
     if (change != LimitChange::None) {
         queue(life);
@@ -72,13 +72,13 @@
     for (const LimitRecord &record : read.limits) {
         present.insert(record.life);
         m_recorded[record.life] = record.perSecond;
-        const NamedLimit *known = m_state.limits.find(record.life);
+        const NamedLimit *known = m_state.signals.limits.find(record.life);
         const bool own = record.host == m_state.settings.host && known != nullptr;
         if (own || m_unwritten.contains(record.life)) {
             continue; // this host knows more than the record
         }
         const NamedLimit before = known == nullptr ? NamedLimit{} : *known;
-        noteChange(record.life, m_state.limits.told(record.life, record.perSecond, record.host, m_state.clock.now()), before);
+        noteChange(record.life, m_state.signals.limits.told(record.life, record.perSecond, record.host, m_state.clock.now()), before);
     }
     for (const TargetLife &life : read.limitsEnded) {
         end(life);
@@ -98,27 +98,27 @@
 void LimitWatch::end(const TargetLife &life)
 {
     m_recorded.erase(life);
-    const NamedLimit *known = m_state.limits.find(life);
+    const NamedLimit *known = m_state.signals.limits.find(life);
     if (known == nullptr || m_unwritten.contains(life)) {
         return;
     }
     const NamedLimit before = *known;
-    noteChange(life, m_state.limits.ended(life), before);
+    noteChange(life, m_state.signals.limits.ended(life), before);
 }
 
 void LimitWatch::setHosts(const std::vector<std::string> &hosts)
 {
-    const unsigned before = m_state.pacer.hosts();
-    m_state.pacer.setHosts(hosts, m_state.settings.host, m_state.clock.now(), m_state.random);
-    if (m_state.pacer.hosts() != before) {
-        logChange("limit-sharers", {{"hosts", std::to_string(m_state.pacer.hosts())}, {"before", std::to_string(before)}});
+    const unsigned before = m_state.signals.pacer.hosts();
+    m_state.signals.pacer.setHosts(hosts, m_state.settings.host, m_state.clock.now(), m_state.random);
+    if (m_state.signals.pacer.hosts() != before) {
+        logChange("limit-sharers", {{"hosts", std::to_string(m_state.signals.pacer.hosts())}, {"before", std::to_string(before)}});
     }
 }
 
 void LimitWatch::dropGone()
 {
     std::set<TargetLife> unlisted;
-    for (const TargetLife &life : m_state.limits.lives()) {
+    for (const TargetLife &life : m_state.signals.limits.lives()) {
         const TargetInfo *target = m_state.targets.find(life.id);
         const bool listed = target != nullptr && target->born == life.born;
         if (listed) {
@@ -128,8 +128,8 @@
             unlisted.insert(life);
             continue;
         }
-        const NamedLimit before = *m_state.limits.find(life);
-        noteChange(life, m_state.limits.ended(life), before);
+        const NamedLimit before = *m_state.signals.limits.find(life);
+        noteChange(life, m_state.signals.limits.ended(life), before);
         queue(life);
     }
     m_unlisted = std::move(unlisted);
@@ -141,13 +141,13 @@
         return;
     }
     const TimePoint now = m_state.clock.now();
-    const NamedLimit *known = m_state.limits.find(life);
+    const NamedLimit *known = m_state.signals.limits.find(life);
     if (known == nullptr) {
-        m_state.pacer.clear(life);
+        m_state.signals.pacer.clear(life);
     } else {
-        m_state.pacer.setLimit(life, known->perSecond, now, m_state.random);
+        m_state.signals.pacer.setLimit(life, known->perSecond, now, m_state.random);
     }
-    m_state.counters.set(m_limited, m_state.limits.size());
+    m_state.counters.set(m_limited, m_state.signals.limits.size());
     const NamedLimit &limit = known == nullptr ? before : *known;
     logChange("runner-limit",
               {{"target", life.id},
@@ -155,8 +155,8 @@
                {"change", limitChangeName(change)},
                {"per_second", known == nullptr ? "none" : twoDecimals(known->perSecond)},
                {"before", change == LimitChange::Named ? "none" : twoDecimals(before.perSecond)},
-               {"share", twoDecimals(m_state.pacer.shareOf(life).value_or(0))},
-               {"hosts", std::to_string(m_state.pacer.hosts())},
+               {"share", twoDecimals(m_state.signals.pacer.shareOf(life).value_or(0))},
+               {"hosts", std::to_string(m_state.signals.pacer.hosts())},
                {"age_ms", msText(now - limit.since)},
                {"source", limit.source}});
 }
@@ -179,7 +179,7 @@
 asio::awaitable<std::error_code> LimitWatch::write(TargetLife life)
 {
     const auto recorded = m_recorded.find(life);
-    const NamedLimit *known = m_state.limits.find(life);
+    const NamedLimit *known = m_state.signals.limits.find(life);
     const bool there = recorded != m_recorded.end();
     if (known == nullptr ? !there : there && recorded->second == known->perSecond) {
         co_return std::error_code();
@@ -219,7 +219,7 @@
             m_writable = !error;
             logChange("limit-record-written", {{"done", error ? "false" : "true"}, {"error", error ? error.message() : ""}, {"target", life.id}});
         }
-        const NamedLimit *known = m_state.limits.find(life);
+        const NamedLimit *known = m_state.signals.limits.find(life);
         const auto recorded = m_recorded.find(life);
         const bool same = known == nullptr ? recorded == m_recorded.end() : recorded != m_recorded.end() && recorded->second == known->perSecond;
         if (same) {
--- a/fulmarlink/mutation.h
+++ b/fulmarlink/mutation.h
@@ -58,6 +58,11 @@
     IgnoreLimits, ///< a runner that names a limit gets work like the others
     WholeLimitEach, ///< each host takes the whole limit of a runner for itself
     EndLimitByOldAnswer, ///< an answer that was overtaken ends a limit
+    IgnoreBackoff, ///< a runner that has asked this host to back off gets work like the others
+    ShortenBackoff, ///< a later, shorter request to back off takes the place of an earlier one
+    EndBackoffByOldAnswer, ///< an answer to a request that was sent before a runner asked to back off ends it
+    SkipSlowStart, ///< a runner gets everything at once when its backoff is over
+    IgnoreLeavingAnswer, ///< a runner that says in its answers that it is leaving gets work
     TrustForeignAnswer, ///< an answer that belongs to another request is taken
 };
 
--- a/fulmarlink/resultcode.h
+++ b/fulmarlink/resultcode.h
@@ -59,6 +59,7 @@
     PoolTooSlow = 134,
     RequestEndsRunners = 135,
     RunnersLimited = 136,
+    RunnersBackingOff = 137,
 
     // The outcome is unknown, or the request ran and its answer can't be given.
     LinkLost = 201,
--- /dev/null
+++ b/fulmarlink/signalwatch.cpp
@@ -0,0 +1,131 @@
+#include "fulmarlink/signalwatch.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "fulmarlink/callerprotocol.h"
+#include "fulmarlink/log.h"
+#include "fulmarlink/targetconnections.h"
+
+namespace fulmarlink
+{
+
+namespace
+{
+
+constexpr std::size_t kMaxMalformed = 1000; ///< lives remembered, so that each is told of once
+
+} // namespace
+
+SignalWatch::SignalWatch(GatewayState &state)
+    : m_state(state)
+    , m_backingOff(state.counters.registerCounter("fulmarlink_runners_backing_off"))
+    , m_backoffs(state.counters.registerCounter("fulmarlink_backoffs_total"))
+    , m_malformedBackoffs(state.counters.registerCounter("fulmarlink_malformed_backoffs_total"))
+    , m_leaving(state.counters.registerCounter("fulmarlink_leaving_answers_total"))
+{
+}
+
+/** Each host begins again with one request; where hosts are more than the runner has slots they do so one after the other. */
+Duration SignalWatch::spread(const TargetInfo &target)
+{
+    const double hostsPerSlot = static_cast<double>(m_state.signals.pacer.hosts()) / std::max(1U, target.slots);
+    if (hostsPerSlot <= 1) {
+        return Duration(0);
+    }
+    const auto most = static_cast<Duration::rep>(static_cast<double>(m_state.pool(target.pool).serviceTime.mean().count()) * (hostsPerSlot - 1));
+    return Duration(std::uniform_int_distribution<Duration::rep>(0, most)(m_state.random));
+}
+
+void SignalWatch::answered(const TargetInfo &target, const RunnerAnswer &answer, const std::string &attempt)
+{
+    if (!answer.speaksForTarget) {
+        return;
+    }
+    const TargetLife life{target.id, target.born};
+    if (answer.leaving) {
+        leaving(target, attempt);
+    }
+    if (!answer.malformedBackoff.empty()) {
+        noteMalformed(life, answer.malformedBackoff);
+    }
+    if (!answer.backoff || *answer.backoff <= Duration(0)) {
+        return;
+    }
+    const TimePoint now = m_state.clock.now();
+    const bool news = m_state.signals.backoff(life) == nullptr;
+    const Duration spread = this->spread(target);
+    const bool extended = m_state.signals.backOff(life, *answer.backoff, spread, attempt, now);
+    m_state.counters.add(m_backoffs);
+    m_state.counters.set(m_backingOff, m_state.signals.backingOff(now));
+    if (!extended) {
+        return;
+    }
+    logChange("runner-backoff",
+              {{"target", life.id},
+               {"born", std::to_string(life.born)},
+               {"change", news ? "begins" : "extended"},
+               {"asked_ms", msText(*answer.backoff)},
+               {"spread_ms", msText(spread)},
+               {"open", std::to_string(m_state.targets.ownRequests(target.id))},
+               {"source", attempt}});
+}
+
+void SignalWatch::leaving(const TargetInfo &target, const std::string &source)
+{
+    const TargetLife life{target.id, target.born};
+    m_state.counters.add(m_leaving);
+    if (!m_state.signals.leaving(life)) {
+        return;
+    }
+    m_state.connections->drop(target.id);
+    logChange("runner-leaving",
+              {{"target", life.id},
+               {"born", std::to_string(life.born)},
+               {"listed_leaving", target.leaving ? "true" : "false"},
+               {"open", std::to_string(m_state.targets.ownRequests(target.id))},
+               {"source", source}});
+}
+
+void SignalWatch::sweep()
+{
+    const TimePoint now = m_state.clock.now();
+    for (const auto &[life, request] : m_state.signals.takeEnded(now)) {
+        logChange("runner-backoff",
+                  {{"target", life.id},
+                   {"born", std::to_string(life.born)},
+                   {"change", "ended"},
+                   {"asked_ms", msText(request.asked)},
+                   {"age_ms", msText(now - request.since)},
+                   {"refused", std::to_string(request.refused)},
+                   {"source", request.source}});
+    }
+    m_state.counters.set(m_backingOff, m_state.signals.backingOff(now));
+}
+
+void SignalWatch::dropGone()
+{
+    std::set<TargetLife> unlisted;
+    for (const TargetLife &life : m_state.signals.lives()) {
+        const TargetInfo *target = m_state.targets.find(life.id);
+        if (target != nullptr && target->born == life.born) {
+            continue;
+        }
+        if (m_unlisted.contains(life)) {
+            m_state.signals.forget(life);
+        } else {
+            unlisted.insert(life);
+        }
+    }
+    m_unlisted = std::move(unlisted);
+}
+
+void SignalWatch::noteMalformed(const TargetLife &life, const std::string &text)
+{
+    m_state.counters.add(m_malformedBackoffs);
+    if (m_malformed.size() < kMaxMalformed && m_malformed.insert(life).second) {
+        logWarning("runner-backoff-malformed", {{"target", life.id}, {"born", std::to_string(life.born)}, {"text", text.substr(0, 64)}});
+    }
+}
+
+} // namespace fulmarlink
--- /dev/null
+++ b/fulmarlink/signalwatch.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <set>
+#include <string>
+
+#include "fulmarlink/counters.h"
+#include "fulmarlink/crashrecord.h"
+#include "fulmarlink/gatewaystate.h"
+
+namespace fulmarlink
+{
+
+struct RunnerAnswer;
+
+/**
+ * Takes in what runners' answers tell this host alone: to back off, and that they are
+ * leaving. Logs and counts each change. Limits, which hosts share, are LimitWatch's.
+ */
+class SignalWatch
+{
+public:
+    explicit SignalWatch(GatewayState &state);
+
+    /** The head of any answer that came on a connection to @p target, also one that belongs to another attempt than @p attempt. */
+    void answered(const TargetInfo &target, const RunnerAnswer &answer, const std::string &attempt);
+    /** @p target has said that it is leaving; @p source: in the answer to which attempt or call. */
+    void leaving(const TargetInfo &target, const std::string &source);
+    /** Called often: logs what is over. */
+    void sweep();
+    /** Called now and then: what runners said that are gone is forgotten. */
+    void dropGone();
+
+private:
+    void noteMalformed(const TargetLife &life, const std::string &text);
+    Duration spread(const TargetInfo &target);
+
+    GatewayState &m_state;
+    std::set<TargetLife> m_unlisted; ///< lives that the list of runners did not have when dropGone() last looked
+    std::set<TargetLife> m_malformed; ///< lives that a line has told of
+    Counters::Id m_backingOff;
+    Counters::Id m_backoffs;
+    Counters::Id m_malformedBackoffs;
+    Counters::Id m_leaving;
+};
+
+} // namespace fulmarlink
--- a/fulmarlink/targettable.cpp
+++ b/fulmarlink/targettable.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "fulmarlink/limitpacer.h"
 #include "fulmarlink/mutation.h"
+#include "fulmarlink/runnersignals.h"
 
 namespace fulmarlink
 {
@@ -71,31 +71,40 @@
 bool TargetTable::usable(const State &state, TimePoint now) const
 {
     const bool lapsed = state.missingSince && now - *state.missingSince >= m_options.lapseGrace;
-    const bool leaving = state.info.leaving && !mutated(Mutation::PickLeaving);
-    return state.listed && !leaving && !lapsed;
+    const bool listedLeaving = state.info.leaving && !mutated(Mutation::PickLeaving);
+    const bool saidLeaving = m_signals != nullptr && m_signals->isLeaving({state.info.id, state.info.born}) && !mutated(Mutation::IgnoreLeavingAnswer);
+    return state.listed && !listedLeaving && !saidLeaving && !lapsed;
 }
 
-bool TargetTable::hasRoom(const State &state, TimePoint now) const
+RunnerObstacle TargetTable::obstacle(const State &state, TimePoint now) const
 {
-    return m_pacer == nullptr || !m_pacer->any() || m_pacer->hasRoom({state.info.id, state.info.born}, now);
+    return m_signals == nullptr ? RunnerObstacle::None : m_signals->obstacle({state.info.id, state.info.born}, state.own, now);
 }
 
-void TargetTable::setPacer(const LimitPacer *pacer)
+void TargetTable::setSignals(const RunnerSignals *signals)
 {
-    m_pacer = pacer;
+    m_signals = signals;
 }
 
-LimitedRunners TargetTable::limited(std::string_view pool, const std::set<std::string> &tried, TimePoint now) const
+BlockedRunners TargetTable::blocked(std::string_view pool, const std::set<std::string> &tried, TimePoint now) const
 {
-    LimitedRunners result;
+    BlockedRunners result;
     for (const auto &[id, state] : m_states) {
-        if (state.info.pool != pool || !usable(state, now) || tried.contains(id) || hasRoom(state, now)) {
+        if (state.info.pool != pool || !usable(state, now) || tried.contains(id)) {
+            continue;
+        }
+        const RunnerObstacle found = obstacle(state, now);
+        if (found == RunnerObstacle::None) {
+            ++result.free;
             continue;
         }
         const TargetLife life{id, state.info.born};
-        const auto next = m_pacer->nextRoom(life, now);
-        ++result.runners;
-        result.perSecond += m_pacer->limitOf(life);
+        const auto next = m_signals->nextRoom(life, now);
+        const bool limited = found == RunnerObstacle::Limited;
+        result.limited += limited ? 1 : 0;
+        result.backingOff += limited ? 0 : 1;
+        result.limitedPerSecond += limited ? m_signals->pacer.limitOf(life) : 0;
+        result.slots += limited ? 0 : state.info.slots;
         result.nextRoom = next && (!result.nextRoom || *next < *result.nextRoom) ? next : result.nextRoom;
     }
     return result;
@@ -120,12 +129,14 @@
     };
     std::map<std::string_view, Best> byGroup;
     for (const auto &[id, state] : m_states) {
-        if (state.info.pool != pool || !usable(state, now) || tried.contains(id) || !hasRoom(state, now)) {
+        if (state.info.pool != pool || !usable(state, now) || tried.contains(id) || obstacle(state, now) != RunnerObstacle::None) {
             continue;
         }
         Best &best = byGroup[state.group];
         ++best.candidate.runners;
-        const bool passedOver = state.ejectedUntil > now || (state.slow && !mutated(Mutation::SendToSlow));
+        // A request that was refused before goes to runners that are known to take work.
+        const bool onProbation = !tried.empty() && m_signals != nullptr && m_signals->inSlowStart({id, state.info.born}, now);
+        const bool passedOver = state.ejectedUntil > now || onProbation || (state.slow && !mutated(Mutation::SendToSlow));
         const std::pair key(passedOver, score(state, now));
         const std::pair bestKey(best.candidate.passedOver, best.candidate.load);
         if (best.ties > 0 && key > bestKey) {
@@ -277,6 +288,12 @@
     }));
 }
 
+unsigned TargetTable::ownRequests(const std::string &id) const
+{
+    const auto it = m_states.find(id);
+    return it == m_states.end() ? 0 : it->second.own;
+}
+
 unsigned TargetTable::ownRequests(std::string_view pool, std::string_view group) const
 {
     unsigned total = 0;
--- a/fulmarlink/targettable.h
+++ b/fulmarlink/targettable.h
@@ -14,7 +14,8 @@
 namespace fulmarlink
 {
 
-class LimitPacer;
+class RunnerSignals;
+enum class RunnerObstacle : std::uint8_t;
 
 /** One runner as the platform lists it. */
 struct TargetInfo {
@@ -50,11 +51,19 @@
     unsigned runners = 0; ///< of the group that may take work
 };
 
-/** Of the runners that may take work but for a limit that they have named and this host has used up. */
-struct LimitedRunners {
-    unsigned runners = 0;
-    double perSecond = 0; ///< their limits, from all hosts together
+/** Of the runners that may take work but for what they have said themselves; see RunnerObstacle. */
+struct BlockedRunners {
+    unsigned limited = 0;
+    unsigned backingOff = 0; ///< slow start included
+    unsigned free = 0; ///< runners that nothing keeps from taking work
+    double limitedPerSecond = 0; ///< requests that the limited ones take from all hosts together
+    unsigned slots = 0; ///< of those that back off
     std::optional<TimePoint> nextRoom; ///< the first that this host has; nothing: it leaves all of them out
+
+    unsigned runners() const
+    {
+        return limited + backingOff;
+    }
 };
 
 /** What a new list changed, for the log. */
@@ -73,7 +82,8 @@
  * own availability zone wins ties. A runner that fails several times in a row is passed
  * over for a while, unless all are; so is one that is known to be slow.
  *
- * Contract: a runner that is leaving or gone in the newest list is never picked. Pure;
+ * Contract: a runner that is leaving or gone in the newest list, or has said that it is leaving
+ * or wants nothing from here now, is never picked. Pure;
  * not thread-safe; pick() is O(runners of the pool).
  */
 class TargetTable
@@ -91,10 +101,10 @@
     const TargetInfo *pick(std::string_view pool, const std::set<std::string> &tried, TimePoint now, Random &random) const;
     /** The best runner of each rank group of @p pool, and of those in no group, that is not in @p tried; by group name. */
     std::vector<TargetCandidate> candidates(std::string_view pool, const std::set<std::string> &tried, TimePoint now, Random &random) const;
-    /** Runners of @p pool that candidates() leaves out for their limit. */
-    LimitedRunners limited(std::string_view pool, const std::set<std::string> &tried, TimePoint now) const;
-    /** Who knows how many requests a runner that has named a limit may get from here; outlives the table. */
-    void setPacer(const LimitPacer *pacer);
+    /** Runners of @p pool that candidates() leaves out for what they have said themselves. */
+    BlockedRunners blocked(std::string_view pool, const std::set<std::string> &tried, TimePoint now) const;
+    /** What runners have said of the requests that they want; outlives the table. */
+    void setSignals(const RunnerSignals *signals);
     /** Null if the runner is not listed. */
     const TargetInfo *find(const std::string &id) const;
     bool mayTake(const std::string &id, TimePoint now) const;
@@ -123,6 +133,8 @@
     /** Requests for each slot at @p id, as pick() compares them. */
     double load(const std::string &id, TimePoint now) const;
     unsigned available(std::string_view pool, TimePoint now) const;
+    /** This entry's requests in progress at one runner. */
+    unsigned ownRequests(const std::string &id) const;
     /** This entry's requests in progress at the runners of @p pool and @p group. */
     unsigned ownRequests(std::string_view pool, std::string_view group) const;
     std::vector<TargetInfo> listed(std::string_view pool) const;
@@ -146,14 +158,14 @@
     };
 
     bool usable(const State &state, TimePoint now) const;
-    bool hasRoom(const State &state, TimePoint now) const;
+    RunnerObstacle obstacle(const State &state, TimePoint now) const;
     double score(const State &state, TimePoint now) const;
     void restart(State &state);
 
     TargetTableOptions m_options;
     std::map<std::string, State> m_states;
     std::optional<TimePoint> m_listedAt;
-    const LimitPacer *m_pacer = nullptr;
+    const RunnerSignals *m_signals = nullptr;
 };
 
 } // namespace fulmarlink
--- a/testing/runnerbackoff_test.cpp
+++ b/testing/runnerbackoff_test.cpp
@@ -13,6 +13,7 @@
 
 #include "testing/harness/fleetload.h"
 #include "testing/harness/gatewayfleet.h"
+#include "testing/harness/mutation_on.h"
 
 namespace fulmarlink::testing
 {
@@ -145,4 +146,121 @@
     EXPECT_EQ(fleet.ask(0, fleet.request("/once/x")).status, 200U) << "they take requests again";
 }
 
+namespace
+{
+
+std::size_t arrivedBetween(const std::vector<FleetArrival> &requests, GatewayFleet::Time from, GatewayFleet::Time to)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(requests, [&](const FleetArrival &request) {
+        return request.at >= from && request.at < to;
+    }));
+}
+
+GatewayFleet::Time lastBackoffEnd(const std::vector<FleetArrival> &requests)
+{
+    GatewayFleet::Time last{};
+    for (const FleetArrival &request : requests) {
+        last = std::max(last, request.backoffUntil);
+    }
+    return last;
+}
+
+} // namespace
+
+// Guards against a runner whose time has passed and that stays unused, and against hosts that come back to it with all that they have.
+TEST(RunnersBackoff, ItsRoomIsUsedSoonAfterItsEndAndWithoutACrowd)
+{
+    constexpr unsigned kHosts = 5;
+    constexpr unsigned kRunners = 4;
+    constexpr double kDemand = 100;
+    GatewayFleet fleet({.gateways = kHosts, .runners = kRunners, .work = 20ms});
+    ASSERT_TRUE(fleet.start());
+    FleetLoad load(fleet, kHosts, kDemand);
+    load.run(1000ms, "/again/x");
+    fleet.refuse(0, 1, "1.5");
+    load.run(800ms, "/again/x");
+    fleet.refuse(0, 0, "");
+    load.run(3500ms, "/again/x");
+    const auto &requests = fleet.requestsAt(0);
+    const GatewayFleet::Time end = lastBackoffEnd(requests);
+    EXPECT_EQ(unwantedRequests(requests), 0U);
+    EXPECT_GE(arrivedBetween(requests, end, end + 250ms), 1U) << "unused";
+    EXPECT_GE(static_cast<double>(arrivedBetween(requests, end, end + 1000ms)), 0.6 * kDemand / kRunners) << "most of its part";
+    EXPECT_LE(static_cast<double>(arrivedBetween(requests, end, end + 200ms)), kHosts + 0.2 * kDemand) << "one of each host, and what comes anew";
+    EXPECT_EQ(load.answered(503), 0U);
+}
+
+// Guards against a backoff that outlives the runner's process.
+TEST(RunnersBackoff, BelongsToOneLifeOfTheRunner)
+{
+    GatewayFleet fleet({.gateways = 1, .runners = 2});
+    ASSERT_TRUE(fleet.start());
+    fleet.refuse(0, 1, "60");
+    FleetLoad load(fleet, 1, 40);
+    load.run(500ms, "/again/x");
+    ASSERT_GE(refusals(fleet.requestsAt(0)), 1U);
+    fleet.refuse(0, 0, "");
+    fleet.crashRunner(0);
+    ASSERT_TRUE(fleet.runUntilUp(2));
+    fleet.run(1000ms);
+    const auto from = std::chrono::steady_clock::now();
+    load.run(1000ms, "/again/x");
+    EXPECT_GE(arrivedBetween(fleet.requestsAt(0), from, from + 1000ms), 10U);
+}
+
+// Guards against text that is no number of seconds and keeps a runner out, or ends the time that another answer has named.
+TEST(RunnersBackoff, IsNotTouchedByWhatIsNoNumberOfSeconds)
+{
+    GatewayFleet fleet({.gateways = 1, .runners = 2});
+    ASSERT_TRUE(fleet.start());
+    FleetLoad load(fleet, 1, 40);
+    for (const std::string bad : {"soon", "-3", "nan", "Fri, 31 Dec 1999 23:59:59 GMT"}) {
+        const std::size_t before = fleet.requestsAt(0).size();
+        fleet.refuse(0, 0.5, bad);
+        load.run(1000ms, "/again/x");
+        EXPECT_GE(fleet.requestsAt(0).size() - before, 5U) << bad;
+    }
+    EXPECT_EQ(fleet.count("fulmarlink_backoffs_total"), 0U);
+    EXPECT_GE(fleet.count("fulmarlink_malformed_backoffs_total"), 4U);
+}
+
+// Guards against ranks that ask one host to wait and are taken for a group that stands still.
+TEST(RunnersBackoff, OfSomeRanksDoesNotCloseTheirGroup)
+{
+    constexpr unsigned kRanks = 8;
+    constexpr unsigned kHosts = 2;
+    GatewayFleet fleet({.gateways = kHosts, .runners = kRanks, .group = true});
+    ASSERT_TRUE(fleet.start());
+    FleetLoad load(fleet, kHosts, 60);
+    load.run(1000ms, "/stream/x");
+    for (unsigned i = 0; i + 1 < kRanks; ++i) {
+        fleet.refuse(i, 1, "1");
+    }
+    load.run(500ms, "/stream/x");
+    const std::size_t learning = load.answered(503);
+    EXPECT_LE(learning, kHosts) << "each host may meet as many of them with one request as a request has sends";
+    load.run(4000ms, "/stream/x");
+    EXPECT_EQ(load.answered(503), learning) << "one rank has room";
+}
+
+TEST(RunnerBackoffMutation, HostsThatIgnoreShortenOrEndABackoffEarlyAreCaught)
+{
+    for (const Mutation mutation : {Mutation::IgnoreBackoff, Mutation::ShortenBackoff}) {
+        const ScopedMutation scoped(mutation);
+        GatewayFleet fleet({.gateways = 1, .runners = 2, .work = 100ms});
+        ASSERT_TRUE(fleet.start());
+        FleetLoad load(fleet, 1, 60);
+        load.run(300ms, "/again/x");
+        fleet.refuse(0, 1, "3");
+        load.run(30ms, "/again/x");
+        while (refusals(fleet.requestsAt(0)) == 0) {
+            load.run(20ms, "/again/x");
+        }
+        fleet.refuse(0, 1, "0.1"); // for what is on its way
+        load.run(2500ms, "/again/x");
+        const bool shortened = mutation == Mutation::ShortenBackoff && refusals(fleet.requestsAt(0)) == 1;
+        EXPECT_TRUE(unwantedRequests(fleet.requestsAt(0)) > 0 || shortened) << static_cast<int>(mutation);
+    }
+}
+
 } // namespace fulmarlink::testing
