A runner that says in an answer that it is leaving gets no further request from that host

What callers saw: requests went to runners that had said in their answers that they end, as long as the list of runners, which may be late, stale or away, said ready. Change: decoded once, in platform/, from the head of every answer: of requests, refusals and answers to another attempt, and of reports, counts and orders (RunnerListener). It is one more field of RunnerSignals, so the choice of target, resumed streams and the last look before a request goes out heed it. It holds for one life of the runner, whatever a list says; kept connections are closed, streams in hand go on.

--- a/fulmarlink/guardedplatform.cpp
+++ b/fulmarlink/guardedplatform.cpp
@@ -119,6 +119,11 @@
     return guarded(m_platform->removeLimitRecord(std::move(life)), "remove-limit-record");
 }
 
+void GuardedPlatform::setRunnerListener(RunnerListener *listener)
+{
+    m_platform->setRunnerListener(listener);
+}
+
 asio::awaitable<RankReportRead> GuardedPlatform::readRankReport(TargetInfo target)
 {
     return guarded(m_platform->readRankReport(std::move(target)), "report");
--- a/fulmarlink/platform.h
+++ b/fulmarlink/platform.h
@@ -18,6 +18,8 @@
 namespace fulmarlink
 {
 
+class RunnerListener;
+
 /** The operator's configuration as read at one time. */
 struct ConfigurationRead {
     std::error_code error;
@@ -96,6 +98,8 @@
     virtual boost::asio::awaitable<std::error_code> writeLimitRecord(LimitRecord record) = 0;
     virtual boost::asio::awaitable<std::error_code> removeLimitRecord(TargetLife life) = 0;
 
+    /** Told of the head of each answer of a runner to the calls below; outlives this, null: nobody. */
+    virtual void setRunnerListener(RunnerListener *listener) = 0;
     virtual boost::asio::awaitable<RankReportRead> readRankReport(TargetInfo target) = 0;
     virtual boost::asio::awaitable<ExpertCountsRead> readExpertCounts(TargetInfo target, unsigned layerSets) = 0;
     virtual boost::asio::awaitable<RankPlacementRead> readRankPlacement(TargetInfo target) = 0;
--- a/fulmarlink/signalwatch.cpp
+++ b/fulmarlink/signalwatch.cpp
@@ -37,25 +37,29 @@
     return Duration(std::uniform_int_distribution<Duration::rep>(0, most)(m_state.random));
 }
 
-void SignalWatch::answered(const TargetInfo &target, const RunnerAnswer &answer, const std::string &attempt)
+void SignalWatch::answered(const TargetInfo &target, const RunnerAnswer &answer, const std::string &source)
 {
     if (!answer.speaksForTarget) {
         return;
     }
-    const TargetLife life{target.id, target.born};
     if (answer.leaving) {
-        leaving(target, attempt);
+        noteLeaving(target, source);
     }
     if (!answer.malformedBackoff.empty()) {
-        noteMalformed(life, answer.malformedBackoff);
+        noteMalformed({target.id, target.born}, answer.malformedBackoff);
     }
-    if (!answer.backoff || *answer.backoff <= Duration(0)) {
-        return;
+    if (answer.backoff && *answer.backoff > Duration(0)) {
+        noteBackoff(target, *answer.backoff, source);
     }
+}
+
+void SignalWatch::noteBackoff(const TargetInfo &target, Duration asked, const std::string &source)
+{
+    const TargetLife life{target.id, target.born};
     const TimePoint now = m_state.clock.now();
     const bool news = m_state.signals.backoff(life) == nullptr;
     const Duration spread = this->spread(target);
-    const bool extended = m_state.signals.backOff(life, *answer.backoff, spread, attempt, now);
+    const bool extended = m_state.signals.backOff(life, asked, spread, source, now);
     m_state.counters.add(m_backoffs);
     m_state.counters.set(m_backingOff, m_state.signals.backingOff(now));
     if (!extended) {
@@ -65,13 +69,13 @@
               {{"target", life.id},
                {"born", std::to_string(life.born)},
                {"change", news ? "begins" : "extended"},
-               {"asked_ms", msText(*answer.backoff)},
+               {"asked_ms", msText(asked)},
                {"spread_ms", msText(spread)},
                {"open", std::to_string(m_state.targets.ownRequests(target.id))},
-               {"source", attempt}});
+               {"source", source}});
 }
 
-void SignalWatch::leaving(const TargetInfo &target, const std::string &source)
+void SignalWatch::noteLeaving(const TargetInfo &target, const std::string &source)
 {
     const TargetLife life{target.id, target.born};
     m_state.counters.add(m_leaving);
--- a/fulmarlink/signalwatch.h
+++ b/fulmarlink/signalwatch.h
@@ -6,31 +6,30 @@
 #include "fulmarlink/counters.h"
 #include "fulmarlink/crashrecord.h"
 #include "fulmarlink/gatewaystate.h"
+#include "fulmarlink/runnerlistener.h"
 
 namespace fulmarlink
 {
 
-struct RunnerAnswer;
-
 /**
  * Takes in what runners' answers tell this host alone: to back off, and that they are
  * leaving. Logs and counts each change. Limits, which hosts share, are LimitWatch's.
  */
-class SignalWatch
+class SignalWatch final : public RunnerListener
 {
 public:
     explicit SignalWatch(GatewayState &state);
 
-    /** The head of any answer that came on a connection to @p target, also one that belongs to another attempt than @p attempt. */
-    void answered(const TargetInfo &target, const RunnerAnswer &answer, const std::string &attempt);
-    /** @p target has said that it is leaving; @p source: in the answer to which attempt or call. */
-    void leaving(const TargetInfo &target, const std::string &source);
+    /** The head of any answer that came on a connection to @p target, also one that belongs to another attempt than @p source. */
+    void answered(const TargetInfo &target, const RunnerAnswer &answer, const std::string &source) override;
     /** Called often: logs what is over. */
     void sweep();
     /** Called now and then: what runners said that are gone is forgotten. */
     void dropGone();
 
 private:
+    void noteBackoff(const TargetInfo &target, Duration asked, const std::string &source);
+    void noteLeaving(const TargetInfo &target, const std::string &source);
     void noteMalformed(const TargetLife &life, const std::string &text);
     Duration spread(const TargetInfo &target);
 
--- a/testing/faultisolation_test.cpp
+++ b/testing/faultisolation_test.cpp
@@ -135,6 +135,11 @@
         return m_sound->removeLimitRecord(std::move(life));
     }
 
+    void setRunnerListener(RunnerListener *listener) override
+    {
+        m_sound->setRunnerListener(listener);
+    }
+
     asio::awaitable<RankReportRead> readRankReport(TargetInfo target) override
     {
         breakIfTold(breakReports);
--- a/testing/harness/fakegroup.h
+++ b/testing/harness/fakegroup.h
@@ -52,6 +52,9 @@
     boost::asio::awaitable<std::error_code> removeCrashRecord(std::string name) override;
     boost::asio::awaitable<std::error_code> writeLimitRecord(LimitRecord record) override;
     boost::asio::awaitable<std::error_code> removeLimitRecord(TargetLife life) override;
+    void setRunnerListener(RunnerListener * /*its ranks say nothing of themselves*/) override
+    {
+    }
     boost::asio::awaitable<RankReportRead> readRankReport(TargetInfo target) override;
     boost::asio::awaitable<ExpertCountsRead> readExpertCounts(TargetInfo target, unsigned layerSets) override;
     boost::asio::awaitable<RankPlacementRead> readRankPlacement(TargetInfo target) override;
--- a/testing/leavingrunner_test.cpp
+++ b/testing/leavingrunner_test.cpp
@@ -131,4 +131,11 @@
     EXPECT_EQ(load.answered(503), 0U);
 }
 
+TEST_F(LeavingRunner, AHostThatDoesNotHearWhatItsAnswersSayIsCaught)
+{
+    const ScopedMutation scoped(Mutation::IgnoreLeavingAnswer);
+    load.run(2000ms, "/once/x");
+    EXPECT_GT(lateRequests(fleet.requestsAt(0), from), 0U);
+}
+
 } // namespace fulmarlink::testing
--- a/testing/platformcodec_test.cpp
+++ b/testing/platformcodec_test.cpp
@@ -191,6 +191,25 @@
     EXPECT_NE(read(503, {"1", "2"}).malformedBackoff, "");
 }
 
+TEST(PlatformCodec, ARunnerIsLeavingOnlyIfItSaysOne)
+{
+    const PlatformProtocol protocol;
+    const auto leaving = [&protocol](const std::vector<std::string> &values) {
+        http::fields head;
+        for (const std::string &value : values) {
+            head.insert("Server-Leaving", value);
+        }
+        return protocol.readAnswer(200, head).leaving;
+    };
+    EXPECT_FALSE(leaving({}));
+    EXPECT_TRUE(leaving({"1"}));
+    EXPECT_TRUE(leaving({" 1 "}));
+    EXPECT_TRUE(leaving({"0", "1"})) << "work that it does not want costs more than work that it could have had";
+    for (const char *other : {"0", "", "no", "10", "true"}) {
+        EXPECT_FALSE(leaving({other})) << other;
+    }
+}
+
 TEST(PlatformCodec, AnAnswerOfAnotherRunnerSpeaksForNone)
 {
     const PlatformProtocol protocol;
--- a/testing/runnersignals_test.cpp
+++ b/testing/runnersignals_test.cpp
@@ -96,6 +96,18 @@
     EXPECT_EQ(signals.take(kRunner, 0, free + 5s), RunnerObstacle::Limited);
 }
 
+// Guards against a runner that leaves and is brought back by its backoff's end, or by being forgotten with it.
+TEST(RunnerSignals, ARunnerThatIsLeavingGetsNothingInThisLife)
+{
+    RunnerSignals signals = backingOff(1s);
+    EXPECT_TRUE(signals.leaving(kRunner));
+    EXPECT_FALSE(signals.leaving(kRunner)) << "known";
+    signals.takeEnded(kStart + 5s);
+    EXPECT_EQ(signals.obstacle(kRunner, 0, kStart + 5s), RunnerObstacle::Leaving);
+    EXPECT_FALSE(signals.nextRoom(kRunner, kStart + 5s));
+    EXPECT_EQ(signals.obstacle({"i-1", 2}, 0, kStart + 5s), RunnerObstacle::None);
+}
+
 TEST(RunnerSignals, TheEndOfABackoffIsToldOnceAndWhatIsOverIsForgotten)
 {
     RunnerSignals signals = backingOff(1s);
