A runner that turns requests away although it has slots free is passed over for a while

One that names no time and refuses nine of ten has nothing in progress, looks the least loaded and draws every request of every host. Change: RefusalHistory, by runner: passed over for 0.1 s after a refusal, twice as long with each (1.6 s at most), half as long with each request that it takes; a request that was refused once goes to runners without such a history. Where all of a pool do so they are tried all the same.

--- a/fulmarlink/gatewayexchange.h
+++ b/fulmarlink/gatewayexchange.h
@@ -82,6 +82,7 @@
     boost::asio::awaitable<void> pauseBeforeRetry(Duration pause);
     void noteEvents(TimePoint now);
     void noteAttempt(const TargetInfo &target, AttemptEnd end, TimePoint began);
+    void noteRefusal(const TargetInfo &target, const RunnerAnswer &answer);
     bool mayRetry();
     bool shouldMove();
     Duration timeLeft() const;
--- a/fulmarlink/gatewayrelay.cpp
+++ b/fulmarlink/gatewayrelay.cpp
@@ -117,6 +117,19 @@
     co_return parser.is_done() ? boost::system::error_code() : http::error::body_limit;
 }
 
+/** A refusal speaks for the group if it names another rank, or if slots are full; otherwise for its runner alone. */
+void GatewayExchange::noteRefusal(const TargetInfo &target, const RunnerAnswer &answer)
+{
+    const TimePoint now = m_state.clock.now();
+    if (answer.backoff) {
+        return; // it is known for how long
+    }
+    const bool ownChoice = answer.speaksForTarget && answer.faultyTarget.empty() && m_state.targets.refused(target.id, answer.load, now);
+    if (!ownChoice) {
+        gate().refusalSeen(now);
+    }
+}
+
 asio::awaitable<AttemptEnd> GatewayExchange::readAnswer(TargetConnection &connection, const TargetInfo &target)
 {
     for (unsigned foreign = 0; foreign < kMaxForeignAnswers; ++foreign) {
@@ -154,9 +167,7 @@
             m_state.targets.loadReported(target.id, *answer.load, now);
         }
         if (answer.notRun) {
-            if (!answer.backoff) { // one that asks to back off speaks for itself alone
-                gate().refusalSeen(now);
-            }
+            noteRefusal(target, answer);
             m_reason = "refused " + std::to_string(head.result_int()) + (answer.faultyTarget.empty() ? "" : " by " + answer.faultyTarget);
             std::string dropped;
             const boost::system::error_code dropError = co_await readBody(connection, *parser, dropped);
@@ -172,6 +183,7 @@
         }
         gate().answerSeen(now);
         m_state.signals.accepted({target.id, target.born}, m_attemptSent, target.slots);
+        m_state.targets.took(target.id);
         m_state.targets.heard(target.id, now);
         const bool stream = m_route.streaming && head.result_int() == 200 && isEventStream(head);
         AttemptEnd end = AttemptEnd::Broken;
--- a/fulmarlink/mutation.h
+++ b/fulmarlink/mutation.h
@@ -63,6 +63,7 @@
     EndBackoffByOldAnswer, ///< an answer to a request that was sent before a runner asked to back off ends it
     SkipSlowStart, ///< a runner gets everything at once when its backoff is over
     IgnoreLeavingAnswer, ///< a runner that says in its answers that it is leaving gets work
+    ForgetRefusals, ///< a runner that turns requests away although it has slots free gets work like the others
     TrustForeignAnswer, ///< an answer that belongs to another request is taken
 };
 
--- /dev/null
+++ b/fulmarlink/refusalhistory.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "fulmarlink/clock.h"
+
+namespace fulmarlink
+{
+
+/**
+ * Refusals of one runner that had slots free by its own word and named no time: it is passed
+ * over for a while, twice as long with each of them, half as long with each request that it
+ * takes. A runner that turns away a third of its requests is hardly ever passed over; one that
+ * turns away nine of ten mostly is, although it looks the least loaded of all.
+ *
+ * Contract: pure; not thread-safe; O(1).
+ */
+class RefusalHistory
+{
+public:
+    static constexpr Duration kFirstPause = std::chrono::milliseconds(100);
+    static constexpr unsigned kMostDoublings = 4;
+
+    void refused(TimePoint now);
+    void took();
+    bool passedOver(TimePoint now) const;
+    /** It has refused more than it took lately, so a request that was refused before goes elsewhere if it can. */
+    bool doubtful() const;
+
+private:
+    unsigned m_level = 0;
+    TimePoint m_until{};
+};
+
+} // namespace fulmarlink
--- a/fulmarlink/targettable.cpp
+++ b/fulmarlink/targettable.cpp
@@ -66,6 +66,7 @@
     state.failures = 0;
     state.ejectedUntil = TimePoint{};
     state.group.clear();
+    state.refusals = RefusalHistory();
 }
 
 bool TargetTable::usable(const State &state, TimePoint now) const
@@ -135,8 +136,9 @@
         Best &best = byGroup[state.group];
         ++best.candidate.runners;
         // A request that was refused before goes to runners that are known to take work.
-        const bool onProbation = !tried.empty() && m_signals != nullptr && m_signals->inSlowStart({id, state.info.born}, now);
-        const bool passedOver = state.ejectedUntil > now || onProbation || (state.slow && !mutated(Mutation::SendToSlow));
+        const bool slowStart = m_signals != nullptr && m_signals->inSlowStart({id, state.info.born}, now);
+        const bool onProbation = !tried.empty() && (slowStart || state.refusals.doubtful());
+        const bool passedOver = state.ejectedUntil > now || state.refusals.passedOver(now) || onProbation || (state.slow && !mutated(Mutation::SendToSlow));
         const std::pair key(passedOver, score(state, now));
         const std::pair bestKey(best.candidate.passedOver, best.candidate.load);
         if (best.ties > 0 && key > bestKey) {
@@ -243,6 +245,24 @@
     return true;
 }
 
+bool TargetTable::refused(const std::string &id, const std::optional<TargetLoad> &load, TimePoint now)
+{
+    const auto it = m_states.find(id);
+    const bool full = it == m_states.end() || !load || load->waiting > 0 || load->running >= it->second.info.slots;
+    if (!full) {
+        it->second.refusals.refused(now);
+    }
+    return !full;
+}
+
+void TargetTable::took(const std::string &id)
+{
+    const auto it = m_states.find(id);
+    if (it != m_states.end()) {
+        it->second.refusals.took();
+    }
+}
+
 void TargetTable::setSlow(std::string_view pool, std::string_view group, const std::vector<std::string> &ids)
 {
     for (auto &[id, state] : m_states) {
--- a/fulmarlink/targettable.h
+++ b/fulmarlink/targettable.h
@@ -10,6 +10,7 @@
 
 #include "fulmarlink/clock.h"
 #include "fulmarlink/httpclient.h"
+#include "fulmarlink/refusalhistory.h"
 
 namespace fulmarlink
 {
@@ -117,6 +118,10 @@
     /** When that was last; the epoch if never. */
     TimePoint lastHeard(const std::string &id) const;
     void succeeded(const std::string &id);
+    /** The runner turned a request away; @p load: as it told with that. True if that speaks against it, and not of full slots. */
+    bool refused(const std::string &id, const std::optional<TargetLoad> &load, TimePoint now);
+    /** The runner has begun to answer a request. */
+    void took(const std::string &id);
     /** A failure that speaks against the runner. True if it is passed over from now on. */
     bool failed(const std::string &id, TimePoint now);
 
@@ -154,6 +159,7 @@
         TimePoint heardAt{};
         unsigned failures = 0; ///< in a row
         TimePoint ejectedUntil{};
+        RefusalHistory refusals;
         bool slow = false;
     };
 
