The soak has runners that turn requests away and ask hosts to back off

Runners ask for 1.5 s, one after the other. What counts is what each of them got from each gateway from 0.5 s after it had asked until the end of that time; times in which the way to the runner was harmed, or the gateway was stopped or killed, are left out, since it may not have heard. The ledger of runners moves out of soak_main into a class of its own.

--- a/testing/soak.sh
+++ b/testing/soak.sh
@@ -15,7 +15,10 @@
 
 "$soak" --seed "$seed" --seconds "$seconds" "$folder" >"$folder/soak.log" 2>&1 &
 world=$!
-for _ in $(seq 100); do [ -f "$folder/ready" ] && break; sleep 0.1; done
+for _ in $(seq 100); do [ -s "$folder/ready" ] && break; sleep 0.1; done
+read -r ready <"$folder/ready"
+# Tells the world which gateway stands still (1) or goes on (0) from now on.
+note() { echo "$1 $(($(date +%s%3N) - ready)) $2" >>"$folder/signals"; }
 for i in 0 1 2; do start $i; done
 end=$((SECONDS + seconds))
 while [ $SECONDS -lt $end ]; do
@@ -23,12 +26,12 @@
     i=$((RANDOM % 3))
     pid=${pids[$i]}
     case $((RANDOM % 10)) in
-    0) kill -KILL "$pid"; wait "$pid" 2>/dev/null; start $i ;;
+    0) note $i 1; kill -KILL "$pid"; wait "$pid" 2>/dev/null; start $i; note $i 0 ;;
     1) kill -TERM "$pid" ;;                    # drains on while others are harmed
-    2 | 3) kill -STOP "$pid"; (sleep "$((RANDOM % 3)).$((RANDOM % 10))"; kill -CONT "$pid" 2>/dev/null) & ;;
+    2 | 3) note $i 1; kill -STOP "$pid"; (sleep "$((RANDOM % 3)).$((RANDOM % 10))"; kill -CONT "$pid" 2>/dev/null; note $i 0) & ;;
     4) kill -HUP "$pid" ;;
     esac
-    for j in 0 1 2; do kill -0 "${pids[$j]}" 2>/dev/null || start $j; done
+    for j in 0 1 2; do kill -0 "${pids[$j]}" 2>/dev/null || { note $j 1; start $j; note $j 0; }; done
 done
 wait "$world"
 verdict=$?
--- a/testing/soak_main.cpp
+++ b/testing/soak_main.cpp
@@ -23,6 +23,7 @@
 #include "platform/wirenames.h"
 #include "standins/platformfleet.h"
 #include "testing/harness/loopbackproxy.h"
+#include "testing/harness/soakledger.h"
 
 namespace fulmarlink::testing
 {
@@ -44,10 +45,9 @@
 constexpr unsigned kCallers = 24;
 constexpr unsigned kEvents = 8; ///< of a stream
 constexpr auto kRevokeBound = 5000ms;
-constexpr const char *kLimit = "3"; ///< requests a second from all gateways together, as a runner in need names it
-constexpr auto kLimitKnown = 3000ms; ///< from when on it is held
-constexpr auto kLimitSpan = 4000ms;
-constexpr std::size_t kMostInLimitSpan = 23; ///< one and a half times what the limit allows, and 5
+constexpr auto kBackoff = 1500ms; ///< that a runner asks for when it turns requests away
+constexpr const char *kBackoffText = "1.5"; ///< the same, in seconds
+constexpr const char *kGatewayHeader = "X-Gateway"; ///< of a request: the gateway that its caller chose
 constexpr auto kPatience = 6000ms; ///< of a caller, far beyond every route's time
 
 enum class Kind : std::uint8_t {
@@ -64,13 +64,6 @@
     unsigned status = 0;
 };
 
-/** A time in which a runner named its limit. */
-struct LimitedTime {
-    unsigned runner = 0;
-    Clock::time_point from;
-    Clock::time_point until;
-};
-
 /** Each time another port that is free; below the range of outgoing connections, apart from other soaks on this machine. */
 std::uint16_t freePort()
 {
@@ -113,6 +106,7 @@
         asio::co_spawn(m_context, trouble(), asio::detached);
         asio::co_spawn(m_context, operatorLoop(), asio::detached);
         asio::co_spawn(m_context, limits(), asio::detached);
+        asio::co_spawn(m_context, backoffs(), asio::detached);
         for (unsigned i = 0; i < kCallers; ++i) {
             asio::co_spawn(m_context, caller(i), asio::detached);
         }
@@ -153,9 +147,8 @@
             PlatformRunner &runner = *m_runners.back();
             runner.events = kEvents;
             runner.work = 5ms;
-            runner.act = [this, i](const HttpRequest &) {
-                m_arrivals[i].push_back(Clock::now());
-                return chooseAct();
+            runner.act = [this, i](const HttpRequest &request) {
+                return chooseAct(i, request);
             };
             const HttpTarget address = proxy(runner.listen()).listen();
             m_store.set("servers", runner.id(), standins::runnerEntry("plain", address, 8));
@@ -166,11 +159,19 @@
             file << "host: entry-" << i << "\nzone: z\nlisten:\n  callers: \"" << text(m_gateways.back()) << "\"\n  readiness: \"127.0.0.1:" << freePort()
                  << "\"\nstore: \"" << text(proxy(store).listen()) << "\"\nbounds:\n  revoke_ms: " << kRevokeBound.count() << "\n";
         }
-        std::ofstream(m_folder + "/ready") << "ready\n";
+        m_ready = Clock::now();
+        std::ofstream(m_folder + "/ready") << std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()
+                                           << '\n';
     }
 
-    RunnerAct chooseAct()
+    RunnerAct chooseAct(unsigned runner, const HttpRequest &request)
     {
+        const auto gateway = static_cast<unsigned>(std::strtoul(std::string(request[kGatewayHeader]).c_str(), nullptr, 10));
+        m_ledger.arrived(runner, gateway);
+        if (!m_runners[runner]->retryAfter.empty()) {
+            m_ledger.askedToBackOff(runner, gateway, kBackoff);
+            return RunnerAct::Refuse;
+        }
         static constexpr auto kActs = std::to_array<RunnerAct>({RunnerAct::Refuse,
                                                                 RunnerAct::Fail,
                                                                 RunnerAct::ResetUnanswered,
@@ -230,8 +231,12 @@
     {
         while (!over()) {
             co_await sleep(std::chrono::milliseconds(100 + pick(500)));
-            LoopbackProxy &harmed = *m_proxies[pick(static_cast<unsigned>(m_proxies.size()))];
+            const unsigned index = pick(static_cast<unsigned>(m_proxies.size()));
+            LoopbackProxy &harmed = *m_proxies[index];
             const unsigned kind = pick(9);
+            if (index < kRunners) { // theirs come first
+                m_ledger.wayChanged(index, kind < 5);
+            }
             if (kind >= 5) {
                 harmed.setMode(ProxyMode::Pass);
                 if (kind == 5) {
@@ -255,44 +260,40 @@
     {
         while (!over()) {
             co_await sleep(std::chrono::milliseconds(200 + pick(800)));
-            LimitedTime time{pick(kRunners), Clock::now(), {}};
-            m_runners[time.runner]->limit = kLimit;
+            const unsigned runner = pick(kRunners);
+            const auto from = Clock::now();
+            m_runners[runner]->limit = SoakLedger::kLimit;
             co_await sleep(std::chrono::milliseconds(8000 + pick(4000)));
-            m_runners[time.runner]->limit.clear();
-            time.until = Clock::now();
-            m_limitedTimes.push_back(time);
+            m_runners[runner]->limit.clear();
+            m_ledger.limited(runner, from, Clock::now());
         }
     }
 
-    /** The most that a runner got in any span of a time in which it named its limit. */
-    std::size_t mostWithinLimit(const LimitedTime &time) const
+    /** One runner after the other turns requests away for some seconds and asks those who sent them to back off. */
+    asio::awaitable<void> backoffs()
     {
-        const auto &arrivals = m_arrivals.at(time.runner);
-        std::size_t most = 0;
-        auto first = std::ranges::lower_bound(arrivals, time.from + kLimitKnown);
-        for (auto last = first; last != arrivals.end() && *last <= time.until; ++last) {
-            while (*last - *first >= kLimitSpan) {
-                ++first;
-            }
-            most = std::max(most, static_cast<std::size_t>(last - first) + 1);
+        while (!over()) {
+            co_await sleep(std::chrono::milliseconds(500 + pick(1500)));
+            PlatformRunner &runner = *m_runners[pick(kRunners)];
+            runner.retryAfter = kBackoffText;
+            co_await sleep(std::chrono::milliseconds(1000 + pick(3000)));
+            runner.retryAfter.clear();
         }
-        return most;
     }
 
-    void judgeLimits()
+    /** testing/soak.sh writes a line for each: the gateway, the milliseconds since the soak was ready, and whether it stands still from then on. */
+    void readSignals()
     {
-        std::size_t most = 0;
-        for (const LimitedTime &time : m_limitedTimes) {
-            const std::size_t got = mostWithinLimit(time);
-            most = std::max(most, got);
-            if (got > kMostInLimitSpan) {
-                broken("runner " + std::to_string(time.runner) + " named a limit and got " + std::to_string(got) + " in 4 s");
-            }
+        std::ifstream file(m_folder + "/signals");
+        unsigned gateway = 0;
+        long long milliseconds = 0;
+        bool stopped = false;
+        while (file >> gateway >> milliseconds >> stopped) {
+            m_ledger.gatewayChanged(gateway, m_ready + std::chrono::milliseconds(milliseconds), stopped);
         }
-        std::cout << "limited " << m_limitedTimes.size() << " times, at most " << most << " in 4 s\n";
     }
 
-    HttpRequest request(Kind kind, const std::string &id, const std::string &key) const
+    HttpRequest request(Kind kind, const std::string &id, const std::string &key, unsigned gateway) const
     {
         static constexpr auto kPaths = std::to_array<const char *>({"/once/x", "/again/x", "/stream/x"});
         HttpRequest message(http::verb::post, kPaths[static_cast<std::size_t>(kind)], 11);
@@ -300,6 +301,7 @@
         message.set(std::string(wire_names::kAttemptId), id);
         message.set(std::string(wire_names::kDeadlineMs), "4000");
         message.set(http::field::authorization, std::string(wire_names::kAuthorizationScheme) + key);
+        message.set(kGatewayHeader, std::to_string(gateway));
         message.body() = "text";
         message.prepare_payload();
         return message;
@@ -313,18 +315,19 @@
             boost::system::error_code error;
             boost::beast::tcp_stream stream(m_context);
             stream.expires_after(1s);
-            const HttpTarget &gateway = m_gateways[next++ % kGateways];
+            const unsigned index = next++ % kGateways;
+            const HttpTarget &gateway = m_gateways[index];
             co_await stream.async_connect({asio::ip::make_address(gateway.address), gateway.port}, asio::redirect_error(asio::use_awaitable, error));
             boost::beast::flat_buffer buffer;
             while (!error && !over()) {
-                error = co_await exchange(stream, buffer);
+                error = co_await exchange(stream, buffer, index);
                 co_await sleep(std::chrono::milliseconds(pick(60)));
             }
             co_await sleep(20ms);
         }
     }
 
-    asio::awaitable<boost::system::error_code> exchange(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer)
+    asio::awaitable<boost::system::error_code> exchange(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, unsigned gateway)
     {
         const std::string id = "a" + std::to_string(++m_lastId);
         Attempt &attempt = m_attempts[id];
@@ -333,7 +336,7 @@
         attempt.key = old ? m_taken.rbegin()->first : *m_keys.begin();
         attempt.sent = Clock::now();
         boost::system::error_code error;
-        const HttpRequest message = request(attempt.kind, id, attempt.key);
+        const HttpRequest message = request(attempt.kind, id, attempt.key, gateway);
         stream.expires_after(kPatience);
         co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
         http::response_parser<http::string_body> parser;
@@ -403,7 +406,9 @@
                 broken(id + " ran with a key that had been taken");
             }
         }
-        judgeLimits();
+        readSignals();
+        std::ranges::copy(m_ledger.judge(), std::back_inserter(m_broken));
+        std::cout << m_ledger.summary() << '\n';
         std::cout << "attempts " << m_attempts.size() << ", run " << runs.size();
         for (const auto &[status, count] : m_answers) {
             std::cout << ", " << status << ": " << count;
@@ -430,8 +435,8 @@
     std::map<std::string, Clock::time_point> m_taken; ///< by key
     std::map<std::string, Attempt> m_attempts; ///< by id
     std::map<unsigned, unsigned> m_answers; ///< by status
-    std::map<unsigned, std::vector<Clock::time_point>> m_arrivals; ///< by runner
-    std::vector<LimitedTime> m_limitedTimes;
+    SoakLedger m_ledger;
+    Clock::time_point m_ready{}; ///< when testing/soak.sh may start the gateways
     std::vector<std::string> m_broken;
     std::uint64_t m_version = 0;
     std::uint64_t m_lastId = 0;
