--- /dev/null
+++ b/fulmarlink/gatewayattempt.cpp
@@ -0,0 +1,130 @@
+// One attempt of an exchange: from the choice of a runner to what is known when it has ended.
+//
+// Each co_await stands in a statement of its own, as in gatewayexchange.cpp.
+
+#include <algorithm>
+#include <exception>
+
+#include "fulmarlink/gatewayexchange.h"
+#include "fulmarlink/log.h"
+
+namespace fulmarlink
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds kConnectTimeout{300}; ///< far above a cross-zone round trip; a lost opening packet comes again only after a second
+
+} // namespace
+
+asio::awaitable<AttemptEnd> GatewayExchange::attempt(const TargetInfo &target)
+{
+    const TimePoint began = m_state.clock.now();
+    m_target = target.id;
+    m_tried.insert(target.id);
+    if (m_state.targets.ownRequests(m_pool, m_group) == 0) {
+        gate().workBegan(began);
+    }
+    m_state.targets.sent(target.id);
+    AttemptEnd end = AttemptEnd::NotSent;
+    std::exception_ptr error;
+    try {
+        end = co_await sendTo(target);
+    } catch (...) {
+        error = std::current_exception();
+    }
+    m_state.targets.ended(target.id);
+    if (error) {
+        m_state.attempts.ended(m_attempt, RunnerAttempts::End::Known, m_state.clock.now());
+        std::rethrow_exception(error);
+    }
+    noteAttempt(target, end, began);
+    co_return end;
+}
+
+/** The one place where requests go out to runners: first sends, repeats, resumed streams and trials alike. What the runner said while a connection was opened
+ * counts too. */
+RunnerObstacle GatewayExchange::takeRoom(const TargetInfo &target)
+{
+    const unsigned own = m_state.targets.ownRequests(target.id); // this request included
+    const RunnerObstacle found = m_state.signals.take({target.id, target.born}, own - std::min(own, 1U), m_state.clock.now());
+    if (found == RunnerObstacle::Limited) {
+        m_state.counters.add(m_state.limitedSends);
+    } else if (found != RunnerObstacle::None) {
+        m_state.counters.add(m_state.backoffSends);
+    }
+    return found;
+}
+
+asio::awaitable<AttemptEnd> GatewayExchange::sendTo(const TargetInfo &target)
+{
+    AttemptEnd end = AttemptEnd::NotSent;
+    const auto connection = co_await m_state.connections->acquire(target, std::min(kConnectTimeout, timerMs(timeLeft())));
+    if (!connection) {
+        m_reason = "connect";
+        m_state.targets.failed(target.id, m_state.clock.now());
+    } else if (m_gone || !m_state.targets.mayTake(target.id, m_state.clock.now()) || !mayRetry()) {
+        m_reason = "leaving";
+        connection->idleLimit = TargetConnections::kDefaultIdle;
+        m_state.connections->release(connection);
+    } else if (const RunnerObstacle found = takeRoom(target); found != RunnerObstacle::None) {
+        m_reason = runnerObstacleName(found);
+        connection->idleLimit = TargetConnections::kDefaultIdle;
+        m_state.connections->release(connection);
+    } else {
+        m_connection = connection;
+        ++m_sends;
+        ++m_ran;
+        end = AttemptEnd::Broken;
+        m_cut = false;
+        m_runnerEnded = false;
+        m_eventsBefore = m_events.events();
+        m_attempt = m_state.attempts.sent({target.id, target.born}, suspect());
+        m_attemptSent = m_state.clock.now();
+        m_backoff.reset();
+        m_toldLoad.reset();
+        const bool written = co_await write(*connection, target);
+        if (written) {
+            end = co_await readAnswer(*connection, target);
+        }
+        m_connection.reset();
+        if (end == AttemptEnd::Refused) {
+            --m_ran;
+        }
+        co_await noteEnd(target, end);
+    }
+    co_return end;
+}
+
+void GatewayExchange::noteAttempt(const TargetInfo &target, AttemptEnd end, TimePoint began)
+{
+    m_targets += (m_targets.empty() ? "" : ",") + target.id;
+    if (end == AttemptEnd::Answered) {
+        m_state.targets.succeeded(target.id);
+        m_state.pool(m_pool).serviceTime.seen(m_state.clock.now() - began);
+        return;
+    }
+    if (m_gone) {
+        return;
+    }
+    const TimePoint now = m_state.clock.now();
+    logRequest("attempt-ended",
+               {{"id", m_facts.attemptId},
+                {"fingerprint", m_fingerprint.text()},
+                {"target", target.id},
+                {"born", std::to_string(target.born)},
+                {"group", m_group},
+                {"reason", m_reason},
+                {"backoff_ms", m_backoff ? msText(*m_backoff) : "none"},
+                {"running", m_toldLoad ? std::to_string(m_toldLoad->running) : "-"},
+                {"waiting", m_toldLoad ? std::to_string(m_toldLoad->waiting) : "-"},
+                {"sends", std::to_string(m_sends)},
+                {"ran", std::to_string(m_ran)},
+                {"ms", msText(now - began)},
+                {"events", std::to_string(m_events.events())}});
+}
+
+} // namespace fulmarlink
--- a/fulmarlink/gatewayrelay.cpp
+++ b/fulmarlink/gatewayrelay.cpp
@@ -121,7 +121,7 @@
 void GatewayExchange::noteRefusal(const TargetInfo &target, const RunnerAnswer &answer)
 {
     const TimePoint now = m_state.clock.now();
-    if (answer.backoff) {
+    if (answer.backoff && *answer.backoff > Duration(0)) {
         return; // it is known for how long
     }
     const bool ownChoice = answer.speaksForTarget && answer.faultyTarget.empty() && m_state.targets.refused(target.id, answer.load, now);
--- a/fulmarlink/signalwatch.cpp
+++ b/fulmarlink/signalwatch.cpp
@@ -62,6 +62,9 @@
     const bool extended = m_state.signals.backOff(life, asked, spread, source, now);
     m_state.counters.add(m_backoffs);
     m_state.counters.set(m_backingOff, m_state.signals.backingOff(now));
+    if (m_state.signals.backoff(life) == nullptr) {
+        logWarning("runner-signals-full", {{"target", life.id}, {"born", std::to_string(life.born)}, {"lives", std::to_string(RunnerSignals::kMaxLives)}});
+    }
     if (!extended) {
         return;
     }
--- a/testing/leavingrunner_test.cpp
+++ b/testing/leavingrunner_test.cpp
@@ -109,8 +109,8 @@
     ASSERT_TRUE(fleet.runUntilUp(3));
     fleet.run(1000ms);
     const std::size_t before = fleet.requestsAt(0).size();
-    load.run(1000ms, "/again/x");
-    EXPECT_GE(fleet.requestsAt(0).size() - before, 10U);
+    load.run(3000ms, "/again/x");
+    EXPECT_GE(fleet.requestsAt(0).size() - before, 30U) << "half of its part; runners that are equally loaded are chosen by chance";
 }
 
 // Guards against a host that has sent it nothing yet, and reads its report without hearing what the answer says.
--- a/testing/runnerbackoff_test.cpp
+++ b/testing/runnerbackoff_test.cpp
@@ -204,8 +204,8 @@
     ASSERT_TRUE(fleet.runUntilUp(2));
     fleet.run(1000ms);
     const auto from = std::chrono::steady_clock::now();
-    load.run(1000ms, "/again/x");
-    EXPECT_GE(arrivedBetween(fleet.requestsAt(0), from, from + 1000ms), 10U);
+    load.run(2000ms, "/again/x");
+    EXPECT_GE(arrivedBetween(fleet.requestsAt(0), from, from + 2000ms), 20U) << "half of its part";
 }
 
 // Guards against text that is no number of seconds and keeps a runner out, or ends the time that another answer has named.
@@ -224,6 +224,19 @@
     EXPECT_GE(fleet.count("fulmarlink_malformed_backoffs_total"), 4U);
 }
 
+// Guards against a time of nothing that is taken for a backoff, or hides that the runner refuses.
+TEST(RunnersBackoff, OfZeroSecondsIsNone)
+{
+    GatewayFleet fleet({.gateways = 1, .runners = 2});
+    ASSERT_TRUE(fleet.start());
+    fleet.refuse(0, 0.5, "0");
+    FleetLoad load(fleet, 1, 40);
+    load.run(1000ms, "/again/x");
+    EXPECT_GE(fleet.requestsAt(0).size(), 5U);
+    EXPECT_EQ(fleet.count("fulmarlink_backoffs_total"), 0U);
+    EXPECT_EQ(load.answered(503), 0U);
+}
+
 // Guards against ranks that ask one host to wait and are taken for a group that stands still.
 TEST(RunnersBackoff, OfSomeRanksDoesNotCloseTheirGroup)
 {
