The test that a host which ignores backoffs is caught asks for nothing else

Its other variant, ShortenBackoff, could pass by an alternative in its condition, so the test claimed more than it showed.

--- a/testing/runnerbackoff_test.cpp
+++ b/testing/runnerbackoff_test.cpp
@@ -256,24 +256,15 @@
     EXPECT_EQ(load.answered(503), learning) << "one rank has room";
 }
 
-TEST(RunnerBackoffMutation, HostsThatIgnoreShortenOrEndABackoffEarlyAreCaught)
+TEST(RunnerBackoffMutation, AHostThatIgnoresBackoffsIsCaught)
 {
-    for (const Mutation mutation : {Mutation::IgnoreBackoff, Mutation::ShortenBackoff}) {
-        const ScopedMutation scoped(mutation);
-        GatewayFleet fleet({.gateways = 1, .runners = 2, .work = 100ms});
-        ASSERT_TRUE(fleet.start());
-        FleetLoad load(fleet, 1, 60);
-        load.run(300ms, "/again/x");
-        fleet.refuse(0, 1, "3");
-        load.run(30ms, "/again/x");
-        while (refusals(fleet.requestsAt(0)) == 0) {
-            load.run(20ms, "/again/x");
-        }
-        fleet.refuse(0, 1, "0.1"); // for what is on its way
-        load.run(2500ms, "/again/x");
-        const bool shortened = mutation == Mutation::ShortenBackoff && refusals(fleet.requestsAt(0)) == 1;
-        EXPECT_TRUE(unwantedRequests(fleet.requestsAt(0)) > 0 || shortened) << static_cast<int>(mutation);
-    }
+    const ScopedMutation scoped(Mutation::IgnoreBackoff);
+    GatewayFleet fleet({.gateways = 1, .runners = 2});
+    ASSERT_TRUE(fleet.start());
+    fleet.refuse(0, 1, "3");
+    FleetLoad load(fleet, 1, 60);
+    load.run(2500ms, "/again/x");
+    EXPECT_GT(unwantedRequests(fleet.requestsAt(0)), 0U);
 }
 
 } // namespace fulmarlink::testing
