--- a/fulmarlink/attemptpolicy.cpp
+++ b/fulmarlink/attemptpolicy.cpp
@@ -24,6 +24,23 @@
 
 } // namespace
 
+std::string_view attemptEndName(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::Answered:
+        return "answered";
+    case AttemptEnd::NotSent:
+        return "not-sent";
+    case AttemptEnd::Refused:
+        return "refused";
+    case AttemptEnd::Failed:
+        return "failed";
+    case AttemptEnd::Broken:
+        return "broken";
+    }
+    return "unknown";
+}
+
 NextStep giveUp(const AttemptState &state)
 {
     const bool neverRan = state.ran == 0 || mutated(Mutation::NotRunAfterRun);
--- a/fulmarlink/attemptpolicy.h
+++ b/fulmarlink/attemptpolicy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string_view>
 
 namespace fulmarlink
 {
@@ -14,6 +15,9 @@
     Broken, ///< the outcome is unknown: connection reset, timeout, or bytes that are not an answer to the request
 };
 
+/** The name for logs and counters. */
+std::string_view attemptEndName(AttemptEnd end);
+
 /** The inputs of the decision after an attempt has ended. */
 struct AttemptState {
     AttemptEnd end = AttemptEnd::Answered;
--- a/fulmarlink/gatewayexchange.cpp
+++ b/fulmarlink/gatewayexchange.cpp
@@ -257,6 +257,33 @@
     return true;
 }
 
+/** Takes one retry from the pool's budget; @p previous is the end of the attempt before it. */
+bool GatewayExchange::takeRetry(AttemptEnd previous)
+{
+    const TimePoint now = m_state.clock.now();
+    WindowBudget &budget = m_state.pool(m_pool).budget;
+    const RepeatAllowance allowance = budget.allowance(now);
+    const bool granted = budget.takeRepeat(now);
+    if (granted) {
+        m_state.counters.add(m_state.grantedRetries.at(previous));
+    } else {
+        m_state.counters.add(m_state.deniedRetries);
+    }
+    logRequest("retry",
+               {{"id", m_callerRequest.attemptId},
+                {"pool", m_pool},
+                {"outcome", granted ? "granted" : "denied"},
+                {"after", attemptEndName(previous)},
+                {"sends", std::to_string(m_sends)},
+                {"granted", std::to_string(allowance.granted)},
+                {"allowed", twoDecimals(allowance.allowed)},
+                {"requests", std::to_string(allowance.requests)},
+                {"slack_share", twoDecimals(allowance.slackShare)},
+                {"hosts", std::to_string(m_state.entries)},
+                {"process_ms", msText(now - m_state.startedAt)}});
+    return granted;
+}
+
 asio::awaitable<void> GatewayExchange::pauseBeforeRetry(Duration pause)
 {
     boost::system::error_code ignored;
@@ -296,7 +323,6 @@
 
 asio::awaitable<void> GatewayExchange::runAttempts()
 {
-    PoolState &pool = m_state.pool(m_pool);
     AttemptEnd end = AttemptEnd::NotSent;
     NextStep step = NextStep::Again;
     while (step == NextStep::Again) {
@@ -310,7 +336,7 @@
             co_return;
         }
         const bool repeat = m_sends > 0;
-        if (!target || !mayRetry() || (repeat && !pool.budget.takeRepeat(m_state.clock.now()))) {
+        if (!target || !mayRetry() || (repeat && !takeRetry(end))) {
             m_reason += !target ? " no-runner" : repeat ? " budget" : "";
             step = giveUp(attemptState(end));
             break;
--- a/fulmarlink/gatewayexchange.h
+++ b/fulmarlink/gatewayexchange.h
@@ -84,6 +84,7 @@
     void recordAttemptResult(const TargetInfo &target, AttemptEnd end, TimePoint began);
     void recordRunnerRefusal(const TargetInfo &target, const RunnerAnswer &answer);
     bool mayRetry();
+    bool takeRetry(AttemptEnd previous);
     bool shouldMoveStream();
     Duration timeLeft() const;
     Duration answerTimeout() const;
--- a/fulmarlink/gatewaystate.cpp
+++ b/fulmarlink/gatewaystate.cpp
@@ -39,14 +39,20 @@
     , protocol(theProtocol)
     , targets(tableOptions(settings))
     , crashes(settings.crashes)
+    , startedAt(theClock.now())
     , random(std::random_device()())
     , requestDuration(counters, "fulmarlink_request_duration_ms")
     , firstEventDelay(counters, "fulmarlink_first_event_ms")
     , eventInterval(counters, "fulmarlink_event_pause_ms")
+    , deniedRetries(counters.registerCounter("fulmarlink_retries_denied_total"))
     , limitedSends(counters.registerCounter("fulmarlink_limited_sends_total"))
     , backoffSends(counters.registerCounter("fulmarlink_backoff_sends_total"))
 {
     targets.setSignals(&signals);
+    for (const AttemptEnd end : {AttemptEnd::NotSent, AttemptEnd::Refused, AttemptEnd::Failed, AttemptEnd::Broken}) {
+        const std::string label = "{after=\"" + std::string(attemptEndName(end)) + "\"}";
+        grantedRetries.emplace(end, counters.registerCounter("fulmarlink_retries_granted_total" + label));
+    }
 }
 
 WindowBudgetOptions GatewayState::budgetOptions() const
--- a/fulmarlink/gatewaystate.h
+++ b/fulmarlink/gatewaystate.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "fulmarlink/attemptpolicy.h"
 #include "fulmarlink/clock.h"
 #include "fulmarlink/configstate.h"
 #include "fulmarlink/counters.h"
@@ -82,10 +83,13 @@
     LimitWatch *limitWatch = nullptr;
     bool crashRecordsLoaded = false; ///< the crash records of other hosts have been read; no request is accepted before
     std::map<std::string, PoolState> pools;
+    const TimePoint startedAt; ///< start of this process
     Random random;
     LatencyHistogram requestDuration; ///< from the last byte of the request to the end of its answer
     LatencyHistogram firstEventDelay; ///< of a stream, measured from the last byte of its request
     LatencyHistogram eventInterval; ///< between consecutive events of a stream
+    std::map<AttemptEnd, Counters::Id> grantedRetries; ///< by the end of the attempt before the retry
+    Counters::Id deniedRetries; ///< requests that ended because the retry budget of their pool was used up
     Counters::Id limitedSends; ///< requests that were not sent on an open connection because the runner's limit was used up meanwhile
     Counters::Id backoffSends; ///< requests that were not sent on an open connection because the runner had asked to back off meanwhile
     unsigned entries = kAssumedEntries; ///< live hosts that share budgets and limits, including this one
--- a/fulmarlink/windowbudget.cpp
+++ b/fulmarlink/windowbudget.cpp
@@ -23,12 +23,20 @@
     m_requests.push_back(now);
 }
 
-bool WindowBudget::canTakeRepeat(TimePoint now)
+RepeatAllowance WindowBudget::allowance(TimePoint now)
 {
     expire(now);
-    const double slackPerEntry = m_options.slack / std::max(1U, m_options.entries);
-    const double allowed = kUsableShare * (m_options.ratio * static_cast<double>(m_requests.size()) + slackPerEntry);
-    return static_cast<double>(m_repeats.size()) + 1 <= allowed || mutated(Mutation::UnboundedRepeats);
+    RepeatAllowance result;
+    result.requests = m_requests.size();
+    result.granted = m_repeats.size();
+    result.slackShare = kUsableShare * m_options.slack / std::max(1U, m_options.entries);
+    result.allowed = kUsableShare * m_options.ratio * static_cast<double>(m_requests.size()) + result.slackShare;
+    return result;
+}
+
+bool WindowBudget::canTakeRepeat(TimePoint now)
+{
+    return allowance(now).permitsOneMore() || mutated(Mutation::UnboundedRepeats);
 }
 
 bool WindowBudget::takeRepeat(TimePoint now)
--- a/fulmarlink/windowbudget.h
+++ b/fulmarlink/windowbudget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <deque>
 
 #include "fulmarlink/clock.h"
@@ -14,6 +15,19 @@
     unsigned entries = 5; ///< entries that share the slack
 };
 
+/** What a WindowBudget allows at one time, and what that is made of. */
+struct RepeatAllowance {
+    std::size_t requests = 0; ///< in the window
+    std::size_t granted = 0; ///< repeats granted in the window
+    double slackShare = 0; ///< this entry's part of the slack
+    double allowed = 0; ///< repeats allowed in the window
+
+    bool permitsOneMore() const
+    {
+        return static_cast<double>(granted) + 1 <= allowed;
+    }
+};
+
 /**
  * Limits the repeats that one entry sends to a pool in any sliding window.
  *
@@ -34,6 +48,7 @@
 
     void setOptions(WindowBudgetOptions options);
     void countRequest(TimePoint now);
+    RepeatAllowance allowance(TimePoint now);
     /** Returns whether one more repeat at @p now is within the bound. */
     bool canTakeRepeat(TimePoint now);
     /** Counts one more repeat and returns true if it is within the bound. */
--- a/testing/harness/gatewayfleet.cpp
+++ b/testing/harness/gatewayfleet.cpp
@@ -90,7 +90,7 @@
         settings.readiness = {"127.0.0.1", freePort()};
         settings.store = storeProxies.back()->listen();
         settings.leavingBound = 500ms;
-        settings.retrySlack = 10'000; // so that the retry budget never keeps a request from the runners
+        settings.retrySlack = options.retrySlack;
         settings.crashes.holdTime = options.holdTime;
     }
 }
