--- /dev/null
+++ b/testing/retrybudgetfleet_test.cpp
@@ -0,0 +1,248 @@
+// The retries that a pool gets from all entry hosts together, over all lives of their processes.
+//
+// Guards against retries beyond the budget while hosts restart: 433 retries reached a pool in ten
+// seconds where 339 were allowed. Its runners refused most requests, and all hosts were killed three
+// times within the window. Each life of a process kept to the bound of one process, but began with an
+// unspent budget, since what the lives before it had granted was lost with them.
+//
+// Simulates hosts in virtual time with the state of a gateway each. A restart replaces that state.
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <memory>
+#include <rapidcheck/gtest.h>
+#include <vector>
+
+#include "fulmarlink/gatewaystate.h"
+#include "platform/platformprotocol.h"
+#include "testing/harness/manualclock.h"
+
+namespace fulmarlink::testing
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr Duration kStep = 10ms;
+constexpr Duration kRestartTime = 500ms;
+constexpr unsigned kMaxRetries = 3; ///< of one request
+
+/** The hosts that are killed at one time. */
+struct Kill {
+    Duration at{};
+    unsigned firstHost = 0;
+    unsigned hosts = 1;
+};
+
+struct Scenario {
+    unsigned hosts = 5;
+    double requestsPerSecond = 120; ///< to all hosts together
+    double failedShare = 0.9; ///< of all sends, so that a retry is asked for
+    std::vector<Kill> kills;
+    Duration length = 40s;
+    std::uint64_t seed = 1;
+};
+
+/** All hosts, killed each @p interval. */
+std::vector<Kill> killAll(unsigned hosts, Duration interval, Duration length)
+{
+    std::vector<Kill> result;
+    for (Duration at = 10s; at < length; at += interval) {
+        result.push_back({at, 0, hosts});
+    }
+    return result;
+}
+
+/** The times of requests and of retries, as a pool's runners and its callers see them. */
+struct Traffic {
+    std::vector<TimePoint> requests;
+    std::vector<TimePoint> retries;
+};
+
+/** One entry host: the state of its process, or none while it is down. */
+class Host
+{
+public:
+    Host(const ManualClock &clock, unsigned hosts)
+        : m_clock(clock)
+        , m_hosts(hosts)
+    {
+        start();
+    }
+
+    void kill()
+    {
+        m_state.reset();
+        m_startsAt = m_clock.now() + kRestartTime;
+    }
+
+    /** True if the host takes requests; starts its process if that is due. */
+    bool isUp()
+    {
+        if (!m_state && m_clock.now() >= m_startsAt) {
+            start();
+        }
+        return m_state != nullptr;
+    }
+
+    WindowBudget &budget()
+    {
+        return m_state->pool("pool").budget;
+    }
+
+private:
+    void start()
+    {
+        m_counters = std::make_unique<Counters>();
+        m_state = std::make_unique<GatewayState>(GatewaySettings(), m_clock, *m_counters, m_protocol);
+        m_state->entries = m_hosts;
+    }
+
+    const ManualClock &m_clock;
+    const unsigned m_hosts;
+    const PlatformProtocol m_protocol;
+    std::unique_ptr<Counters> m_counters;
+    std::unique_ptr<GatewayState> m_state;
+    TimePoint m_startsAt{};
+};
+
+void sendRequest(Host &host, double failedShare, TimePoint now, Random &random, Traffic &traffic)
+{
+    traffic.requests.push_back(now);
+    if (!host.isUp()) {
+        return;
+    }
+    host.budget().countRequest(now);
+    for (unsigned retry = 0; retry < kMaxRetries; ++retry) {
+        if (!std::bernoulli_distribution(failedShare)(random) || !host.budget().takeRepeat(now)) {
+            return;
+        }
+        traffic.retries.push_back(now);
+    }
+}
+
+Traffic play(const Scenario &scenario)
+{
+    ManualClock clock;
+    Random random(scenario.seed);
+    std::vector<std::unique_ptr<Host>> hosts;
+    for (unsigned i = 0; i < scenario.hosts; ++i) {
+        hosts.push_back(std::make_unique<Host>(clock, scenario.hosts));
+    }
+    Traffic traffic;
+    const TimePoint start = clock.now();
+    auto kill = scenario.kills.begin();
+    std::poisson_distribution<unsigned> requests(scenario.requestsPerSecond * std::chrono::duration<double>(kStep).count());
+    for (; clock.time < start + scenario.length; clock.time += kStep) {
+        for (; kill != scenario.kills.end() && start + kill->at <= clock.time; ++kill) {
+            for (unsigned i = 0; i < kill->hosts; ++i) {
+                hosts[(kill->firstHost + i) % scenario.hosts]->kill();
+            }
+        }
+        for (unsigned i = requests(random); i > 0; --i) {
+            sendRequest(*hosts[random() % scenario.hosts], scenario.failedShare, clock.time, random, traffic);
+        }
+    }
+    return traffic;
+}
+
+std::size_t countIn(const std::vector<TimePoint> &times, TimePoint begin, TimePoint end)
+{
+    return static_cast<std::size_t>(std::ranges::lower_bound(times, end) - std::ranges::lower_bound(times, begin));
+}
+
+/** Retries allowed in the window from @p begin: by its own requests, by those of the window before or by those half a window before, whichever are most. */
+double allowedFrom(TimePoint begin, const Traffic &traffic)
+{
+    const GatewaySettings settings;
+    const Duration window = settings.retryWindow;
+    std::size_t requests = 0;
+    for (const Duration shift : {Duration(0), window / 2, window}) {
+        requests = std::max(requests, countIn(traffic.requests, begin - shift, begin - shift + window));
+    }
+    return settings.retryRatio * static_cast<double>(requests) + settings.retrySlack;
+}
+
+/** The largest excess of retries over what is allowed, in any window; at most 0 if the budget holds. */
+double worstExcess(const Traffic &traffic)
+{
+    const Duration window = GatewaySettings().retryWindow;
+    double worst = -GatewaySettings().retrySlack;
+    for (const TimePoint begin : traffic.retries) {
+        worst = std::max(worst, static_cast<double>(countIn(traffic.retries, begin, begin + window)) - allowedFrom(begin, traffic));
+    }
+    return worst;
+}
+
+} // namespace
+
+TEST(RetryBudgetFleet, HoldsWithoutRestarts)
+{
+    for (const unsigned hosts : {1U, 4U, 14U, 100U}) {
+        EXPECT_LE(worstExcess(play({.hosts = hosts})), 0) << hosts << " hosts";
+    }
+}
+
+TEST(RetryBudgetFleet, HoldsWhileAllHostsAreKilledAgainAndAgain)
+{
+    for (const unsigned hosts : {1U, 4U, 5U, 14U, 100U}) {
+        for (const Duration interval : {Duration(1s), Duration(3s), Duration(6s)}) {
+            const Scenario scenario{.hosts = hosts, .kills = killAll(hosts, interval, 40s)};
+            EXPECT_LE(worstExcess(play(scenario)), 0) << hosts << " hosts, every " << interval.count() / 1'000'000 << " s";
+        }
+    }
+}
+
+TEST(RetryBudgetFleet, HoldsWhileTwoHostsAtATimeAreKilled)
+{
+    for (const unsigned hosts : {4U, 5U, 14U}) {
+        Scenario scenario{.hosts = hosts};
+        for (unsigned i = 0; i < 60; ++i) {
+            scenario.kills.push_back({10s + i * Duration(500ms), 2 * i, 2});
+        }
+        EXPECT_LE(worstExcess(play(scenario)), 0) << hosts << " hosts";
+    }
+}
+
+TEST(RetryBudgetFleet, HoldsWhileOneHostCrashesInALoop)
+{
+    Scenario scenario{.hosts = 4};
+    for (unsigned i = 0; i < 50; ++i) {
+        scenario.kills.push_back({10s + i * Duration(600ms), 0, 1});
+    }
+    EXPECT_LE(worstExcess(play(scenario)), 0);
+}
+
+RC_GTEST_PROP(RetryBudgetFleet, HoldsForRandomRestarts, ())
+{
+    Scenario scenario;
+    scenario.hosts = *rc::gen::inRange(1U, 20U);
+    scenario.requestsPerSecond = *rc::gen::inRange(10, 300);
+    scenario.failedShare = *rc::gen::inRange(10, 101) / 100.0;
+    scenario.length = 30s;
+    scenario.seed = *rc::gen::arbitrary<std::uint64_t>();
+    const auto kills = *rc::gen::inRange(0U, 12U);
+    Duration at = 5s;
+    for (unsigned i = 0; i < kills; ++i) {
+        at += std::chrono::milliseconds(*rc::gen::inRange(0, 4000));
+        scenario.kills.push_back({at, *rc::gen::inRange(0U, 20U), *rc::gen::inRange(1U, scenario.hosts + 1)});
+    }
+    RC_ASSERT(worstExcess(play(scenario)) <= 0);
+}
+
+// A retry must not be denied for longer than the budget requires: one window after its start a process has its whole part again.
+TEST(RetryBudgetFleet, ARestartedHostGrantsItsWholePartOneWindowLater)
+{
+    const Scenario never{.hosts = 4, .requestsPerSecond = 20, .failedShare = 1};
+    Scenario once = never;
+    once.kills = killAll(4, 100s, 11s);
+    const TimePoint start = ManualClock().now();
+    const auto later = [&](const Scenario &scenario) {
+        return countIn(play(scenario).retries, start + 10s + 2 * kRestartTime + GatewaySettings().retryWindow, start + scenario.length);
+    };
+    EXPECT_GE(static_cast<double>(later(once)), 0.9 * static_cast<double>(later(never)));
+}
+
+} // namespace fulmarlink::testing
