Retry budget: a process grants nothing of the slack in its first window

Cause: each host keeps its part of the slack in memory. A restarted process began with an unspent part, though what earlier lives of its host had granted was still in the window. Class: an amount that several processes share by parts, which a restart renews.

Why it works: all that was granted before the start of a process has left the window when its slack begins, so at most one life of a host grants slack in any window (docs/design/retry-budget.md). Tried first as the smallest change; keeping grants in the store would not survive a kill between two writes, and a smaller share bounds nothing.

--- a/fulmarlink/gatewaystate.cpp
+++ b/fulmarlink/gatewaystate.cpp
@@ -62,6 +62,7 @@
     options.ratio = settings.retryRatio;
     options.slack = settings.retrySlack;
     options.entries = entries;
+    options.processStart = startedAt;
     return options;
 }
 
--- a/fulmarlink/windowbudget.h
+++ b/fulmarlink/windowbudget.h
@@ -13,6 +13,7 @@
     double ratio = 0.2; ///< repeats allowed for each request in the window
     double slack = 10; ///< further repeats allowed in the window, over all entries
     unsigned entries = 5; ///< entries that share the slack
+    TimePoint processStart{}; ///< earlier processes of this entry may have granted repeats until then
 };
 
 /** What a WindowBudget allows at one time, and what that is made of. */
@@ -32,12 +33,16 @@
  * Limits the repeats that one entry sends to a pool in any sliding window.
  *
  * Each entry keeps to the ratio of its own requests and to its part of the slack, so the sum over
- * all entries keeps to the ratio and the slack without any communication between them. An entry
- * uses only kUsableShare of both; the rest covers entries that have just restarted and no longer
- * know what they sent.
+ * all entries keeps to the ratio and the slack without any communication between them. A process
+ * does not know what earlier processes of its entry have granted, so it grants nothing of the
+ * slack until a whole window has passed since its start.
  *
- * Contract: in any window the repeats granted are at most
- * kUsableShare * (ratio * requests of that window + slack / entries). O(1) amortised; not thread-safe.
+ * An entry uses only kUsableShare of both. The rest covers requests that one entry counts in an
+ * earlier window than the others, and entries that disagree on their number.
+ *
+ * Contract: in any window that ends with a grant the repeats granted are at most
+ * kUsableShare * (ratio * requests of that window + slack / entries), and without the slack before
+ * processStart + window. O(1) amortised; not thread-safe.
  */
 class WindowBudget
 {
--- a/testing/harness/gatewayfixture.h
+++ b/testing/harness/gatewayfixture.h
@@ -55,6 +55,7 @@
         settings.callers = {"127.0.0.1", freePort()};
         settings.readiness = {"127.0.0.1", freePort()};
         settings.store = store.listen();
+        settings.retryRatio = 100; // the slack is not granted to a process that has just started
         addresses["i-a"] = a.listen();
         addresses["i-b"] = b.listen();
         store.set("config", "main", json::parse(kConfiguration));
--- a/testing/harness/gatewayfleet.cpp
+++ b/testing/harness/gatewayfleet.cpp
@@ -90,6 +90,7 @@
         settings.readiness = {"127.0.0.1", freePort()};
         settings.store = storeProxies.back()->listen();
         settings.leavingBound = 500ms;
+        settings.retryRatio = options.retryRatio;
         settings.retrySlack = options.retrySlack;
         settings.crashes.holdTime = options.holdTime;
     }
--- a/testing/retrybudgetfleet_test.cpp
+++ b/testing/retrybudgetfleet_test.cpp
@@ -16,6 +16,7 @@
 #include "fulmarlink/gatewaystate.h"
 #include "platform/platformprotocol.h"
 #include "testing/harness/manualclock.h"
+#include "testing/harness/mutation_on.h"
 
 namespace fulmarlink::testing
 {
@@ -215,6 +216,12 @@
     EXPECT_LE(worstExcess(play(scenario)), 0);
 }
 
+TEST(RetryBudgetFleet, DetectsProcessesThatStartWithAnUnspentBudget)
+{
+    const ScopedMutation mutation(Mutation::FullBudgetAtStart);
+    EXPECT_GT(worstExcess(play({.hosts = 5, .kills = killAll(5, 3s, 40s)})), 0);
+}
+
 RC_GTEST_PROP(RetryBudgetFleet, HoldsForRandomRestarts, ())
 {
     Scenario scenario;
--- a/testing/windowbudget_test.cpp
+++ b/testing/windowbudget_test.cpp
@@ -67,4 +67,23 @@
     EXPECT_TRUE(budget.takeRepeat(at(10'001)));
 }
 
+// What earlier processes of the entry have granted is not known.
+TEST(WindowBudget, AProcessGrantsNoSlackInItsFirstWindow)
+{
+    WindowBudget budget({.window = seconds(10), .ratio = 0.2, .slack = 80, .entries = 16, .processStart = at(0)});
+    EXPECT_FALSE(budget.takeRepeat(at(9'999)));
+    EXPECT_TRUE(budget.takeRepeat(at(10'000)));
+}
+
+TEST(WindowBudget, AProcessGrantsTheRatioOfItsRequestsFromItsStart)
+{
+    WindowBudget budget({.window = seconds(10), .ratio = 0.2, .slack = 80, .entries = 16, .processStart = at(0)});
+    unsigned granted = 0;
+    for (int i = 0; i < 100; ++i) {
+        budget.countRequest(at(i));
+        granted += budget.takeRepeat(at(i)) ? 1 : 0;
+    }
+    EXPECT_EQ(granted, 14U); // 0.7 x 0.2 x 100
+}
+
 } // namespace fulmarlink::testing
