Tests of the retry budget while lists of hosts shrink and while load moves; both fail

The same cause elsewhere, looked for in the arithmetic of docs/design/retry-budget.md: what it takes for granted was played in virtual time, without restarts.

The number of hosts is set in one place for that (GatewayState::setEntries), which behaves as before.

--- a/fulmarlink/gateway.cpp
+++ b/fulmarlink/gateway.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <functional>
-#include <utility>
 
 #include "fulmarlink/callerprotocol.h"
 #include "fulmarlink/groupwatch.h"
@@ -169,9 +168,7 @@
     const bool addressesKept = settings.callers.port == m_state.settings.callers.port && settings.callers.address == m_state.settings.callers.address;
     logChange("reloaded", {{"addresses_kept", addressesKept ? "true" : "false: they change at the next start"}});
     m_state.settings = std::move(settings);
-    for (auto &[name, pool] : m_state.pools) {
-        pool.budget.setOptions(m_state.budgetOptions());
-    }
+    m_state.updateBudgets();
 }
 
 asio::awaitable<void> Gateway::sleep(Duration duration)
@@ -321,18 +318,7 @@
 {
     renewalsDue ? m_liveHosts.recordRead(read.entries) : m_liveHosts.recordIntermediateRead(read.entries);
     const std::vector<std::string> hosts = m_liveHosts.hosts();
-    const unsigned entriesBefore = std::exchange(m_state.entries, std::max<unsigned>(1, static_cast<unsigned>(hosts.size())));
-    if (m_state.entries != entriesBefore) {
-        logChange("retry-budget-share",
-                  {{"hosts", std::to_string(m_state.entries)},
-                   {"before", std::to_string(entriesBefore)},
-                   {"slack", twoDecimals(m_state.settings.retrySlack)},
-                   {"window_ms", std::to_string(m_state.settings.retryWindow.count())},
-                   {"process_ms", msText(m_clock.now() - m_state.startedAt)}});
-    }
-    for (auto &[name, pool] : m_state.pools) {
-        pool.budget.setOptions(m_state.budgetOptions());
-    }
+    m_state.setEntries(static_cast<unsigned>(hosts.size()));
     updateConnectionLimits();
     if (complete) {
         m_limitWatch.setHosts(hosts);
--- a/fulmarlink/gatewaystate.cpp
+++ b/fulmarlink/gatewaystate.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
+#include "fulmarlink/log.h"
 #include "fulmarlink/mutation.h"
 
 namespace fulmarlink
@@ -66,6 +68,27 @@
     return options;
 }
 
+void GatewayState::setEntries(unsigned count)
+{
+    const unsigned before = std::exchange(entries, std::max(1U, count));
+    if (entries != before) {
+        logChange("retry-budget-share",
+                  {{"hosts", std::to_string(entries)},
+                   {"before", std::to_string(before)},
+                   {"slack", twoDecimals(settings.retrySlack)},
+                   {"window_ms", std::to_string(settings.retryWindow.count())},
+                   {"process_ms", msText(clock.now() - startedAt)}});
+    }
+    updateBudgets();
+}
+
+void GatewayState::updateBudgets()
+{
+    for (auto &[name, pool] : pools) {
+        pool.budget.setOptions(budgetOptions());
+    }
+}
+
 PoolState &GatewayState::pool(const std::string &name)
 {
     return pools.try_emplace(name, budgetOptions()).first->second;
--- a/fulmarlink/gatewaystate.h
+++ b/fulmarlink/gatewaystate.h
@@ -59,6 +59,10 @@
     /** True if this host has requests open at the group's runners and none of them has made progress for too long. */
     bool isGroupStalled(const std::string &poolName, const std::string &group, TimePoint now);
     WindowBudgetOptions budgetOptions() const;
+    /** Sets the number of live hosts, including this one, and divides the retry budgets accordingly. */
+    void setEntries(unsigned count);
+    /** Applies the current settings and number of hosts to the retry budgets of all pools. */
+    void updateBudgets();
     /** Interval between this host's writes of shared records, so that all hosts together stay within kSharedWritesPerSecond. */
     Duration sharedWriteInterval() const;
     /** Maximum age of the configuration's last confirmation by the store at which requests with an API key may run. */
--- a/testing/retrybudgetfleet_test.cpp
+++ b/testing/retrybudgetfleet_test.cpp
@@ -37,11 +37,20 @@
     unsigned hosts = 1;
 };
 
+/** From @p at on every host believes that @p hosts hosts live. */
+struct ListChange {
+    Duration at{};
+    unsigned hosts = 1;
+};
+
 struct Scenario {
     unsigned hosts = 5;
     double requestsPerSecond = 120; ///< to all hosts together
     double failedShare = 0.9; ///< of all sends, so that a retry is asked for
-    std::vector<Kill> kills;
+    std::vector<Kill> kills; ///< in order of time
+    std::vector<ListChange> lists; ///< in order of time
+    Duration movesAt{}; ///< until then only the first half of the hosts gets requests, afterwards only the others; 0: all get them
+    Duration failsFrom{}; ///< no send fails before
     Duration length = 40s;
     std::uint64_t seed = 1;
 };
@@ -73,6 +82,14 @@
         start();
     }
 
+    void setHosts(unsigned hosts)
+    {
+        m_hosts = hosts;
+        if (m_state) {
+            m_state->setEntries(hosts);
+        }
+    }
+
     void kill()
     {
         m_state.reset();
@@ -98,11 +115,11 @@
     {
         m_counters = std::make_unique<Counters>();
         m_state = std::make_unique<GatewayState>(GatewaySettings(), m_clock, *m_counters, m_protocol);
-        m_state->entries = m_hosts;
+        m_state->setEntries(m_hosts);
     }
 
     const ManualClock &m_clock;
-    const unsigned m_hosts;
+    unsigned m_hosts;
     const PlatformProtocol m_protocol;
     std::unique_ptr<Counters> m_counters;
     std::unique_ptr<GatewayState> m_state;
@@ -124,6 +141,15 @@
     }
 }
 
+std::size_t chooseHost(const Scenario &scenario, Duration at, Random &random)
+{
+    const std::size_t half = scenario.hosts / 2;
+    if (scenario.movesAt == Duration(0)) {
+        return random() % scenario.hosts;
+    }
+    return at < scenario.movesAt ? random() % half : half + random() % (scenario.hosts - half);
+}
+
 Traffic play(const Scenario &scenario)
 {
     ManualClock clock;
@@ -135,6 +161,7 @@
     Traffic traffic;
     const TimePoint start = clock.now();
     auto kill = scenario.kills.begin();
+    auto list = scenario.lists.begin();
     std::poisson_distribution<unsigned> requests(scenario.requestsPerSecond * std::chrono::duration<double>(kStep).count());
     for (; clock.time < start + scenario.length; clock.time += kStep) {
         for (; kill != scenario.kills.end() && start + kill->at <= clock.time; ++kill) {
@@ -142,8 +169,15 @@
                 hosts[(kill->firstHost + i) % scenario.hosts]->kill();
             }
         }
+        for (; list != scenario.lists.end() && start + list->at <= clock.time; ++list) {
+            for (const auto &host : hosts) {
+                host->setHosts(list->hosts);
+            }
+        }
+        const Duration at = clock.time - start;
+        const double failedShare = at < scenario.failsFrom ? 0 : scenario.failedShare;
         for (unsigned i = requests(random); i > 0; --i) {
-            sendRequest(*hosts[random() % scenario.hosts], scenario.failedShare, clock.time, random, traffic);
+            sendRequest(*hosts[chooseHost(scenario, at, random)], failedShare, clock.time, random, traffic);
         }
     }
     return traffic;
@@ -216,6 +250,26 @@
     EXPECT_LE(worstExcess(play(scenario)), 0);
 }
 
+// The store loses the records of all hosts, so that each sees itself alone until the others have written theirs again.
+TEST(RetryBudgetFleet, HoldsWhileHostsLoseSightOfEachOther)
+{
+    for (const unsigned hosts : {4U, 5U, 14U}) {
+        const Scenario scenario{.hosts = hosts, .lists = {{15s, 1}, {16s, 2}, {20s, hosts}}};
+        EXPECT_LE(worstExcess(play(scenario)), 0) << hosts << " hosts";
+    }
+}
+
+// Half of the hosts leave the rotation just after runners have begun to fail, and the others get all requests.
+TEST(RetryBudgetFleet, HoldsWhileLoadMovesToOtherHosts)
+{
+    for (const unsigned hosts : {2U, 4U, 14U}) {
+        for (const double requestsPerSecond : {80.0, 400.0, 3500.0}) {
+            const Scenario scenario{.hosts = hosts, .requestsPerSecond = requestsPerSecond, .movesAt = 21s, .failsFrom = 20s};
+            EXPECT_LE(worstExcess(play(scenario)), 0) << hosts << " hosts, " << requestsPerSecond << " requests/s";
+        }
+    }
+}
+
 TEST(RetryBudgetFleet, DetectsProcessesThatStartWithAnUnspentBudget)
 {
     const ScopedMutation mutation(Mutation::FullBudgetAtStart);
