Retry budget: the slack is divided by the largest number of hosts of the last window

What callers would have seen: the same as after restarts, retries beyond the budget, where hosts lose sight of each other for some seconds while runners refuse. The store gives back a list without their records (an older copy, or records removed), each host sees itself alone until the others have renewed theirs 5 s later, and takes the whole slack for itself.

Cause: a shrinking list renewed the parts of hosts whose retries were still in the window. Same class as the restart.

--- a/fulmarlink/gatewayexchange.cpp
+++ b/fulmarlink/gatewayexchange.cpp
@@ -279,7 +279,7 @@
                 {"allowed", twoDecimals(allowance.allowed)},
                 {"requests", std::to_string(allowance.requests)},
                 {"slack_share", twoDecimals(allowance.slackShare)},
-                {"hosts", std::to_string(m_state.entries)},
+                {"hosts", std::to_string(m_state.recentEntries.maximum(now, m_state.settings.retryWindow))},
                 {"process_ms", msText(now - m_state.startedAt)}});
     return granted;
 }
--- a/fulmarlink/gatewaystate.cpp
+++ b/fulmarlink/gatewaystate.cpp
@@ -57,13 +57,17 @@
     }
 }
 
-WindowBudgetOptions GatewayState::budgetOptions() const
+/**
+ * The slack is divided by the largest number of hosts of the last window. Hosts that are missing from the list may still have granted their
+ * parts in it; and they may be alive, with their records lost or late.
+ */
+WindowBudgetOptions GatewayState::budgetOptions()
 {
     WindowBudgetOptions options;
     options.window = settings.retryWindow;
     options.ratio = settings.retryRatio;
     options.slack = settings.retrySlack;
-    options.entries = entries;
+    options.entries = mutated(Mutation::ForgetFormerHosts) ? entries : recentEntries.maximum(clock.now(), settings.retryWindow);
     options.processStart = startedAt;
     return options;
 }
@@ -71,10 +75,12 @@
 void GatewayState::setEntries(unsigned count)
 {
     const unsigned before = std::exchange(entries, std::max(1U, count));
+    recentEntries.set(entries, clock.now());
     if (entries != before) {
         logChange("retry-budget-share",
                   {{"hosts", std::to_string(entries)},
                    {"before", std::to_string(before)},
+                   {"divided_by", std::to_string(recentEntries.maximum(clock.now(), settings.retryWindow))},
                    {"slack", twoDecimals(settings.retrySlack)},
                    {"window_ms", std::to_string(settings.retryWindow.count())},
                    {"process_ms", msText(clock.now() - startedAt)}});
--- a/fulmarlink/gatewaystate.h
+++ b/fulmarlink/gatewaystate.h
@@ -14,6 +14,7 @@
 #include "fulmarlink/gatewaysettings.h"
 #include "fulmarlink/latencyhistogram.h"
 #include "fulmarlink/poolgate.h"
+#include "fulmarlink/recentmaximum.h"
 #include "fulmarlink/retryafterpacer.h"
 #include "fulmarlink/runnerattempts.h"
 #include "fulmarlink/runnersignals.h"
@@ -58,7 +59,7 @@
     PoolState &pool(const std::string &name);
     /** True if this host has requests open at the group's runners and none of them has made progress for too long. */
     bool isGroupStalled(const std::string &poolName, const std::string &group, TimePoint now);
-    WindowBudgetOptions budgetOptions() const;
+    WindowBudgetOptions budgetOptions();
     /** Sets the number of live hosts, including this one, and divides the retry budgets accordingly. */
     void setEntries(unsigned count);
     /** Applies the current settings and number of hosts to the retry budgets of all pools. */
@@ -97,6 +98,7 @@
     Counters::Id limitedSends; ///< requests that were not sent on an open connection because the runner's limit was used up meanwhile
     Counters::Id backoffSends; ///< requests that were not sent on an open connection because the runner had asked to back off meanwhile
     unsigned entries = kAssumedEntries; ///< live hosts that share budgets and limits, including this one
+    RecentMaximum recentEntries; ///< of `entries`, as read from the store
     std::optional<TimePoint> drainStartedAt; ///< set once the process is draining
     unsigned unansweredRequests = 0; ///< requests in progress
     unsigned groupsOwned = 0; ///< rank groups that this host leads
--- a/fulmarlink/windowbudget.cpp
+++ b/fulmarlink/windowbudget.cpp
@@ -29,8 +29,9 @@
     RepeatAllowance result;
     result.requests = m_requests.size();
     result.granted = m_repeats.size();
-    if (now >= m_options.processStart + m_options.window || mutated(Mutation::FullBudgetAtStart)) {
-        result.slackShare = kUsableShare * m_options.slack / std::max(1U, m_options.entries);
+    const bool isFirstWindow = now < m_options.processStart + m_options.window && !mutated(Mutation::FullBudgetAtStart);
+    if (m_options.entries > 0 && !isFirstWindow) {
+        result.slackShare = kUsableShare * m_options.slack / m_options.entries;
     }
     result.allowed = kUsableShare * (m_options.ratio * static_cast<double>(m_requests.size())) + result.slackShare;
     return result;
--- a/fulmarlink/windowbudget.h
+++ b/fulmarlink/windowbudget.h
@@ -12,7 +12,7 @@
     Duration window = std::chrono::seconds(10);
     double ratio = 0.2; ///< repeats allowed for each request in the window
     double slack = 10; ///< further repeats allowed in the window, over all entries
-    unsigned entries = 5; ///< entries that share the slack
+    unsigned entries = 5; ///< entries that share the slack; 0: not known, and no slack is granted
     TimePoint processStart{}; ///< earlier processes of this entry may have granted repeats until then
 };
 
--- a/testing/retrybudgetfleet_test.cpp
+++ b/testing/retrybudgetfleet_test.cpp
@@ -270,6 +270,12 @@
     }
 }
 
+TEST(RetryBudgetFleet, DetectsPartsOfFormerHostsThatAreGrantedAgain)
+{
+    const ScopedMutation mutation(Mutation::ForgetFormerHosts);
+    EXPECT_GT(worstExcess(play({.hosts = 5, .lists = {{15s, 1}, {20s, 5}}})), 0);
+}
+
 TEST(RetryBudgetFleet, DetectsProcessesThatStartWithAnUnspentBudget)
 {
     const ScopedMutation mutation(Mutation::FullBudgetAtStart);
