Retry budget: what counts in two windows is granted by half

What callers would have seen: retries beyond the budget without any restart, where load moves from some hosts to others within a window while runners fail (a rolling restart, a zone that leaves the rotation).

Cause: each host allows retries by the requests of its own last ten seconds, and a host that has no requests any more goes on using those from before. The window of the bound holds the retries of the ones and of the others, and the requests of one of them. 0.7 of the ratio counted twice is 1.4.

Class: parts that add up only if all hosts count in the same window. Fix: half of the ratio is earned by requests one by one and kept up to a part of the slack, so that it counts in the window of its requests; the other half is allowed by a sliding window, at a quarter, since it may count in two. docs/design/retry-budget.md has the sum.

RetryBudgetFleet.HoldsWhileLoadMovesToOtherHosts failed before (23 to 2,271 retries too many) and fails again under Mutation::CountOneWindow. Tried first and reverted: all of the ratio earned one by one.

The bound of the rule stands in one function for tests and soak (testing/harness/retrybound.h).

--- a/fulmarlink/gatewayexchange.cpp
+++ b/fulmarlink/gatewayexchange.cpp
@@ -275,6 +275,7 @@
                 {"outcome", granted ? "granted" : "denied"},
                 {"after", attemptEndName(previous)},
                 {"sends", std::to_string(m_sends)},
+                {"earned", twoDecimals(allowance.earned)},
                 {"granted", std::to_string(allowance.granted)},
                 {"allowed", twoDecimals(allowance.allowed)},
                 {"requests", std::to_string(allowance.requests)},
--- a/fulmarlink/mutation.h
+++ b/fulmarlink/mutation.h
@@ -40,6 +40,7 @@
     PickLeaving, ///< a runner that is leaving gets work
     UnboundedRepeats, ///< the retry window grants everything
     ForgetFormerHosts, ///< the retry slack of hosts that have just left the list is granted again
+    CountOneWindow, ///< the retry budget takes the sliding windows of all hosts for one
     FullBudgetAtStart, ///< a restarted process grants its part of the retry slack at once
     GiveHalfEvents, ///< bytes of an unfinished event reach the caller
     KeepTerm, ///< a lease that lapsed goes on with its old term
