Limits of runners: a process that has not read the list of hosts assumes the most that there can be

What runners would have seen: more requests than the limit that they name, from all hosts together, while many hosts restart.

Cause: until it has read the list of hosts, about a second after its start, a process took a sixteenth of a limit; 100 hosts that restart together took six times the limit, and again at each restart. The same class as the retry budget: an amount shared by parts, of which a restart renews too much. 16 hosts and fewer were never beyond it.

LimitPacer.TotalStaysWithinLimitWhileAllHostsRestartAgainAndAgain failed before: at 20 requests a second, 183 to 268 in 4 s with 100 hosts and 240 to 380 with 370, where 125 are allowed. A process now takes a 400th in that second; the other runners of the pool take the rest. LimitPacer.TakesSmallShareUntilListOfHostsIsKnown asserts the new share as exactly as the old one.

--- a/fulmarlink/limitpacer.cpp
+++ b/fulmarlink/limitpacer.cpp
@@ -68,7 +68,7 @@
 {
     const double rate = std::clamp(perSecond, m_options.minPerSecond, kMaxPerSecond);
     if (m_hosts.empty()) {
-        return rate / m_options.assumedHosts;
+        return rate / m_options.maxHosts;
     }
     const double maxSharers = std::max<double>(m_options.maxSharersAtLowRate, rate);
     const auto sharers = static_cast<std::size_t>(std::min<double>(static_cast<double>(m_hosts.size()), maxSharers));
--- a/fulmarlink/limitpacer.h
+++ b/fulmarlink/limitpacer.h
@@ -15,6 +15,7 @@
     unsigned maxSharersAtLowRate = 5; ///< most hosts that share a limit, or its number of requests per second if that is more
     double minPerSecond = 0.1; ///< floor for all hosts together: without any requests, hosts would not learn that a lower limit has ended
     unsigned assumedHosts = 16; ///< number of hosts assumed until the list of hosts has been read
+    unsigned maxHosts = 400; ///< assumed for the share of a limit until then, since all hosts may have restarted at once; more than any deployment has
     Duration maxSlotLifetime = std::chrono::seconds(4); ///< an unused slot expires after this time, or after one interval if that is shorter
     Duration burst = std::chrono::milliseconds(500); ///< a host with several slots within this time may use them at once
 };
--- a/testing/limitpacer_test.cpp
+++ b/testing/limitpacer_test.cpp
@@ -86,6 +86,36 @@
     return result;
 }
 
+/** Like arrivals(), with ten times the limit's demand, while each process of a host lives for @p life and reads the list of hosts 1 s after its start. */
+std::vector<TimePoint> arrivalsWithRestarts(unsigned hosts, double perSecond, Duration life)
+{
+    constexpr Duration kListRead = 1s;
+    Random random(1);
+    std::vector<LimitPacer> pacers;
+    std::vector<TimePoint> result;
+    const std::vector<std::string> names = hostNames(hosts);
+    Duration age = life;
+    for (TimePoint now = kStart; now < kStart + 30s; now += kStep, age += kStep) {
+        if (age >= life) {
+            age = Duration(0);
+            pacers = std::vector<LimitPacer>(hosts);
+            for (LimitPacer &pacer : pacers) {
+                pacer.setLimit(kRunner, perSecond, now, random);
+            }
+        }
+        for (std::size_t i = 0; i < hosts && age == kListRead; ++i) {
+            pacers[i].setHosts(names, names[i], now, random);
+        }
+        const unsigned requests = std::poisson_distribution<unsigned>(10 * perSecond * std::chrono::duration<double>(kStep).count())(random);
+        for (unsigned i = 0; i < requests; ++i) {
+            if (pacers[random() % hosts].tryAcquire(kRunner, now)) {
+                result.push_back(now);
+            }
+        }
+    }
+    return result;
+}
+
 std::size_t maxInSpan(const std::vector<TimePoint> &times)
 {
     std::size_t highest = 0;
@@ -140,6 +170,19 @@
     RC_ASSERT(static_cast<double>(maxInSpan(arrivals(scenario))) <= allowedInSpan(std::max(scenario.perSecond, LimitPacerOptions().minPerSecond)));
 }
 
+// A process that has just started does not know how many hosts share a limit.
+TEST(LimitPacer, TotalStaysWithinLimitWhileAllHostsRestartAgainAndAgain)
+{
+    for (const unsigned hosts : {5U, 16U, 100U, 370U}) {
+        for (const double perSecond : {1.0, 20.0}) {
+            for (const Duration life : {Duration(800ms), Duration(3s)}) {
+                EXPECT_LE(maxInSpan(arrivalsWithRestarts(hosts, perSecond, life)), allowedInSpan(perSecond))
+                    << hosts << " hosts, " << perSecond << " per second, lives of " << life.count() / 1000 << " ms";
+            }
+        }
+    }
+}
+
 TEST(LimitPacer, UsesMostOfLimitUnderTenfoldDemand)
 {
     for (const unsigned hosts : {1U, 3U, 5U, 16U}) {
@@ -231,7 +274,7 @@
     Random random(7);
     LimitPacer pacer;
     pacer.setLimit(kRunner, 16, kStart, random);
-    EXPECT_DOUBLE_EQ(*pacer.shareOf(kRunner), 1.0);
+    EXPECT_DOUBLE_EQ(*pacer.shareOf(kRunner), 16.0 / 400);
     pacer.setHosts({"entry-1"}, "entry-0", kStart, random);
     EXPECT_DOUBLE_EQ(*pacer.shareOf(kRunner), 8.0) << "the host counts itself";
     pacer.removeLimit(kRunner);
