Soak: retries over all gateways and their restarts stay within the budget

The ledger counts the arrivals of each attempt beyond the first, over all gateways and all their processes, against the requests that callers sent, by the bound that the tests in virtual time use. Arrivals over a harmed way are left out, since a proxy may hold them up and let them go together.

--- a/testing/harness/soakledger.cpp
+++ b/testing/harness/soakledger.cpp
@@ -12,6 +12,11 @@
 
 constexpr auto kOnItsWay = 600ms; ///< an answer may be held up by a proxy for so long
 
+std::chrono::microseconds sinceEpoch(SoakLedger::Clock::time_point time)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch());
+}
+
 bool anyWithin(const std::map<unsigned, std::vector<SoakLedger::Clock::time_point>> &times,
                unsigned key,
                SoakLedger::Clock::time_point from,
@@ -25,9 +30,31 @@
 
 } // namespace
 
-void SoakLedger::arrived(unsigned runner, unsigned gateway)
+/** What a proxy held up arrives later than it was sent, together with what came after it. */
+bool SoakLedger::heldUp(unsigned runner, Clock::time_point at) const
+{
+    const auto harmed = m_wayHarmed.find(runner);
+    return (harmed != m_wayHarmed.end() && harmed->second) || anyWithin(m_wayChanges, runner, at - kOnItsWay, at);
+}
+
+void SoakLedger::requestSent()
 {
-    m_arrivals[runner].push_back({gateway, Clock::now()});
+    m_retryTraffic.requests.push_back(sinceEpoch(Clock::now()));
+}
+
+void SoakLedger::arrived(unsigned runner, unsigned gateway, const std::string &attempt)
+{
+    const auto now = Clock::now();
+    m_arrivals[runner].push_back({gateway, now});
+    const bool isRetry = !m_arrivedAttempts.insert(attempt).second;
+    if (isRetry && !heldUp(runner, now)) {
+        m_retryTraffic.retries.push_back(sinceEpoch(now));
+    }
+}
+
+RetryWindow SoakLedger::worstRetries() const
+{
+    return worstRetryWindow(m_retryTraffic, {.ratio = kRetryRatio, .slack = kRetrySlack});
 }
 
 void SoakLedger::askedToBackOff(unsigned runner, unsigned gateway, std::chrono::milliseconds time)
@@ -111,6 +138,10 @@
                              + std::to_string(sent) + " requests");
         }
     }
+    const RetryWindow retries = worstRetries();
+    if (retries.excess() > 0) {
+        broken.push_back(std::to_string(retries.retries) + " retries in a window that allows " + std::to_string(retries.allowed));
+    }
     return broken;
 }
 
@@ -128,7 +159,9 @@
         unwanted += counts ? sentWithin(backoff) : 0;
     }
     return "limited " + std::to_string(m_limits.size()) + " times, at most " + std::to_string(most) + " in 4 s; asked to back off "
-           + std::to_string(m_backoffs.size()) + " times, " + std::to_string(judged) + " judged, " + std::to_string(unwanted) + " requests meanwhile";
+           + std::to_string(m_backoffs.size()) + " times, " + std::to_string(judged) + " judged, " + std::to_string(unwanted) + " requests meanwhile; "
+           + std::to_string(m_retryTraffic.retries.size()) + " retries, " + std::to_string(worstRetries().retries) + " in a window that allows "
+           + std::to_string(worstRetries().allowed);
 }
 
 } // namespace fulmarlink::testing
--- a/testing/harness/soakledger.h
+++ b/testing/harness/soakledger.h
@@ -2,9 +2,12 @@
 
 #include <chrono>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "testing/harness/retrybound.h"
+
 namespace fulmarlink::testing
 {
 
@@ -21,7 +24,11 @@
     static constexpr auto kBackoffKnown = std::chrono::milliseconds(500); ///< for requests that were on their way
     static constexpr std::size_t kMostInBackoff = 2; ///< that the platform lets pass
 
-    void arrived(unsigned runner, unsigned gateway);
+    static constexpr double kRetryRatio = 0.001; ///< of the gateways' retry budget, so small that processes which renew the slack at each start exceed it
+    static constexpr double kRetrySlack = 10; ///< likewise
+
+    void requestSent();
+    void arrived(unsigned runner, unsigned gateway, const std::string &attempt);
     /** The runner turned that gateway away and wants nothing from it for @p time. */
     void askedToBackOff(unsigned runner, unsigned gateway, std::chrono::milliseconds time);
     /** The way to the runner was harmed or mended. */
@@ -53,12 +60,16 @@
         Clock::time_point until;
     };
 
+    bool heldUp(unsigned runner, Clock::time_point at) const;
+    RetryWindow worstRetries() const;
     std::size_t mostWithinLimit(const Limit &limit) const;
     std::size_t sentWithin(const Backoff &backoff) const;
     bool gatewayStopped(const Backoff &backoff) const;
     /** The gateway may not have read the runner's answer, or has forgotten it. */
     bool excused(const Backoff &backoff) const;
 
+    RetryTraffic m_retryTraffic;
+    std::set<std::string> m_arrivedAttempts;
     std::map<unsigned, std::vector<Arrival>> m_arrivals; ///< by runner
     std::vector<Backoff> m_backoffs;
     std::vector<Limit> m_limits;
--- a/testing/soak_main.cpp
+++ b/testing/soak_main.cpp
@@ -157,7 +157,8 @@
             m_gateways.push_back({"127.0.0.1", freePort()});
             std::ofstream file(m_folder + "/gateway-" + std::to_string(i) + ".yaml");
             file << "host: entry-" << i << "\nzone: z\nlisten:\n  callers: \"" << text(m_gateways.back()) << "\"\n  readiness: \"127.0.0.1:" << freePort()
-                 << "\"\nstore: \"" << text(proxy(store).listen()) << "\"\nbounds:\n  revoke_ms: " << kRevokeBound.count() << "\n";
+                 << "\"\nstore: \"" << text(proxy(store).listen()) << "\"\nbounds:\n  revoke_ms: " << kRevokeBound.count()
+                 << "\n  retry_ratio: " << SoakLedger::kRetryRatio << "\n  retry_slack: " << SoakLedger::kRetrySlack << "\n";
         }
         m_ready = Clock::now();
         std::ofstream(m_folder + "/ready") << std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()
@@ -167,7 +168,7 @@
     RunnerAct chooseAct(unsigned runner, const HttpRequest &request)
     {
         const auto gateway = static_cast<unsigned>(std::strtoul(std::string(request[kGatewayHeader]).c_str(), nullptr, 10));
-        m_ledger.arrived(runner, gateway);
+        m_ledger.arrived(runner, gateway, std::string(request[std::string(wire_names::kAttemptId)]));
         if (!m_runners[runner]->retryAfter.empty()) {
             m_ledger.askedToBackOff(runner, gateway, kBackoff);
             return RunnerAct::Refuse;
@@ -335,6 +336,7 @@
         const bool old = !m_taken.empty() && pick(4) == 0;
         attempt.key = old ? m_taken.rbegin()->first : *m_keys.begin();
         attempt.sent = Clock::now();
+        m_ledger.requestSent();
         boost::system::error_code error;
         const HttpRequest message = request(attempt.kind, id, attempt.key, gateway);
         stream.expires_after(kPatience);
