--- a/testing/harness/soakledger.cpp
+++ b/testing/harness/soakledger.cpp
@@ -30,6 +30,11 @@
 
 } // namespace
 
+SoakLedger::SoakLedger(RetryBound retryBound)
+    : m_retryBound(retryBound)
+{
+}
+
 /** What a proxy held up arrives later than it was sent, together with what came after it. */
 bool SoakLedger::heldUp(unsigned runner, Clock::time_point at) const
 {
@@ -54,7 +59,7 @@
 
 RetryWindow SoakLedger::worstRetries() const
 {
-    return worstRetryWindow(m_retryTraffic, {.ratio = kRetryRatio, .slack = kRetrySlack});
+    return worstRetryWindow(m_retryTraffic, m_retryBound);
 }
 
 void SoakLedger::askedToBackOff(unsigned runner, unsigned gateway, std::chrono::milliseconds time)
--- a/testing/harness/soakledger.h
+++ b/testing/harness/soakledger.h
@@ -24,8 +24,8 @@
     static constexpr auto kBackoffKnown = std::chrono::milliseconds(500); ///< for requests that were on their way
     static constexpr std::size_t kMostInBackoff = 2; ///< that the platform lets pass
 
-    static constexpr double kRetryRatio = 0.001; ///< of the gateways' retry budget, so small that processes which renew the slack at each start exceed it
-    static constexpr double kRetrySlack = 10; ///< likewise
+    /** @p retryBound is that of the gateways' settings. */
+    explicit SoakLedger(RetryBound retryBound);
 
     void requestSent();
     void arrived(unsigned runner, unsigned gateway, const std::string &attempt);
@@ -68,6 +68,7 @@
     /** The gateway may not have read the runner's answer, or has forgotten it. */
     bool excused(const Backoff &backoff) const;
 
+    const RetryBound m_retryBound;
     RetryTraffic m_retryTraffic;
     std::set<std::string> m_arrivedAttempts;
     std::map<unsigned, std::vector<Arrival>> m_arrivals; ///< by runner
--- a/testing/retrybudgetfleet_test.cpp
+++ b/testing/retrybudgetfleet_test.cpp
@@ -48,8 +48,8 @@
     unsigned hosts = 5;
     double requestsPerSecond = 120; ///< to all hosts together
     double failedShare = 0.9; ///< of all sends, so that a retry is asked for
-    std::vector<Kill> kills; ///< in order of time
-    std::vector<ListChange> lists; ///< in order of time
+    std::vector<Kill> kills = {}; ///< in order of time
+    std::vector<ListChange> lists = {}; ///< in order of time
     Duration movesAt{}; ///< until then only the first half of the hosts gets requests, afterwards only the others; 0: all get them
     Duration failsFrom{}; ///< no send fails before
     Duration length = 40s;
--- a/testing/soak_main.cpp
+++ b/testing/soak_main.cpp
@@ -56,6 +56,12 @@
     Stream,
 };
 
+/** Of the gateways; with every other seed so small that processes which renew it at each start would exceed it. */
+RetryBound retryBound(std::uint64_t seed)
+{
+    return seed % 2 == 0 ? RetryBound{.ratio = 0.001, .slack = 10} : RetryBound{};
+}
+
 /** What became of one attempt, as its caller saw it. */
 struct Attempt {
     Kind kind = Kind::Once;
@@ -97,6 +103,8 @@
         , m_length(length)
         , m_folder(std::move(folder))
         , m_store(m_context)
+        , m_retryBound(retryBound(seed))
+        , m_ledger(m_retryBound)
     {
     }
 
@@ -158,7 +166,7 @@
             std::ofstream file(m_folder + "/gateway-" + std::to_string(i) + ".yaml");
             file << "host: entry-" << i << "\nzone: z\nlisten:\n  callers: \"" << text(m_gateways.back()) << "\"\n  readiness: \"127.0.0.1:" << freePort()
                  << "\"\nstore: \"" << text(proxy(store).listen()) << "\"\nbounds:\n  revoke_ms: " << kRevokeBound.count()
-                 << "\n  retry_ratio: " << SoakLedger::kRetryRatio << "\n  retry_slack: " << SoakLedger::kRetrySlack << "\n";
+                 << "\n  retry_ratio: " << m_retryBound.ratio << "\n  retry_slack: " << m_retryBound.slack << "\n";
         }
         m_ready = Clock::now();
         std::ofstream(m_folder + "/ready") << std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()
@@ -437,6 +445,7 @@
     std::map<std::string, Clock::time_point> m_taken; ///< by key
     std::map<std::string, Attempt> m_attempts; ///< by id
     std::map<unsigned, unsigned> m_answers; ///< by status
+    const RetryBound m_retryBound;
     SoakLedger m_ledger;
     Clock::time_point m_ready{}; ///< when testing/soak.sh may start the gateways
     std::vector<std::string> m_broken;
