Test of a backoff over a restart of the host; it fails

The same cause elsewhere: what a runner asked of a host is kept in the memory of its process. A host that is killed and starts again a second later sends 2 to 4 requests to each of three runners that want none for three seconds.

--- a/testing/runnerbackoff_test.cpp
+++ b/testing/runnerbackoff_test.cpp
@@ -115,6 +115,30 @@
 }
 
 // Guards against a Retry-After to callers that expires, or requests sent to runners, before the first runner's Retry-After does.
+// A backoff is kept in memory: a host that is killed and starts again within it sends to the runner as if it had not asked.
+TEST(RunnersBackoff, RestartedHostSendsNothingToARunnerThatAskedItToBackOff)
+{
+    constexpr unsigned kRunners = 3;
+    GatewayFleet fleet({.gateways = 1, .runners = kRunners});
+    ASSERT_TRUE(fleet.start());
+    for (unsigned i = 0; i < kRunners; ++i) {
+        fleet.setRefusals(i, 1, "3");
+    }
+    ASSERT_EQ(fleet.ask(0, fleet.request("/once/x")).status, 503U);
+    for (unsigned i = 0; i < kRunners; ++i) {
+        fleet.setRefusals(i, 0, "");
+    }
+    fleet.killGateway(0);
+    fleet.runFor(1000ms);
+    ASSERT_TRUE(fleet.start());
+    for (unsigned i = 0; i < 10; ++i) {
+        fleet.ask(0, fleet.request("/once/x"));
+    }
+    for (unsigned i = 0; i < kRunners; ++i) {
+        EXPECT_EQ(unwantedRequests(fleet.requestsAt(i)), 0U);
+    }
+}
+
 TEST(RunnersBackoff, CallersAreRefusedAtOnceWhileAllRunnersBackOff)
 {
     constexpr unsigned kRunners = 3;
