Shared records: the pace of their writes leaves room for the renewals of entries

Cause: all hosts together wrote records at just that pace, and renewed their entries besides, 3.2 a second with the 16 hosts of the test and up to 20 with more. Records now take 80 a second, so that both are 100 at most.

--- a/fulmarlink/gatewaystate.cpp
+++ b/fulmarlink/gatewaystate.cpp
@@ -22,6 +22,8 @@
  */
 constexpr Duration kMaxReadyProofAge = std::chrono::milliseconds(2100);
 
+constexpr unsigned kEntryRenewalsPerSecond = 20; ///< by all hosts together, at most; they are part of kSharedWritesPerSecond
+
 constexpr Duration kMinStallTime = std::chrono::milliseconds(500); ///< longer than any pass, shorter than callers wait
 constexpr int kStallPasses = 2; ///< passes of a group with a slow rank take over a second without being stalled
 
@@ -118,7 +120,7 @@
 
 Duration GatewayState::sharedWriteInterval() const
 {
-    return Duration(std::chrono::seconds(1)) * entries / kSharedWritesPerSecond;
+    return Duration(std::chrono::seconds(1)) * entries / (kSharedWritesPerSecond - kEntryRenewalsPerSecond);
 }
 
 Duration GatewayState::maxKeyProofAge() const
