--- a/testing/soak_main.cpp
+++ b/testing/soak_main.cpp
@@ -56,7 +56,7 @@
     Stream,
 };
 
-/** Of the gateways; with every other seed so small that processes which renew it at each start would exceed it. */
+/** Of the gateways; with every other seed so small that processes which renew it at each start come near the bound or exceed it. */
 RetryBound retryBound(std::uint64_t seed)
 {
     return seed % 2 == 0 ? RetryBound{.ratio = 0.001, .slack = 10} : RetryBound{};
