Line on a runner's end: what had become of each suspect's attempt

It now has the state of each suspect's attempt as well: in progress, lost, or given up by this host, and whether its answer had begun. Lost and given-up attempts are recorded apart for this; nothing is decided by it yet.

--- a/fulmarlink/crashrecord.h
+++ b/fulmarlink/crashrecord.h
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "fulmarlink/requestfingerprint.h"
@@ -20,12 +21,22 @@
         const TargetIncarnation &) const = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 takes the generated comparison with 0 for a pointer's
 };
 
+/** What had become of an attempt by the time at which its runner was found to have ended. */
+enum class SuspectState : std::uint8_t {
+    InProgress,
+    Lost, ///< the runner or the network had closed its connection
+    GivenUp, ///< this host had closed its connection: no answer in time, or bytes that are not an answer
+};
+
+std::string_view suspectStateName(SuspectState state);
+
 /** A request that was in progress at a runner when it ended. */
 struct CrashSuspect {
     RequestFingerprint fingerprint;
     std::string customer; ///< for operators
     std::string route; ///< for operators
     bool answerStarted = false; ///< parts of its answer had been received, so the runner had survived its start
+    SuspectState state = SuspectState::InProgress; ///< for this host's log; not part of the record
 };
 
 enum class CrashRecordKind : std::uint8_t {
--- a/fulmarlink/crashwatch.cpp
+++ b/fulmarlink/crashwatch.cpp
@@ -51,6 +51,15 @@
     return result;
 }
 
+std::string statesOf(const std::vector<CrashSuspect> &suspects)
+{
+    std::string result;
+    for (const CrashSuspect &suspect : suspects) {
+        result += (result.empty() ? "" : ",") + std::string(suspectStateName(suspect.state)) + (suspect.answerStarted ? "+answering" : "");
+    }
+    return result;
+}
+
 std::string textOf(const std::vector<TargetIncarnation> &incarnations)
 {
     std::string result;
@@ -264,7 +273,11 @@
         m_endedOrder.pop_front();
     }
     logWarning("runner-ended",
-               {{"target", incarnation.id}, {"born", std::to_string(incarnation.born)}, {"evidence", evidence}, {"suspects", textOf(suspects)}});
+               {{"target", incarnation.id},
+                {"born", std::to_string(incarnation.born)},
+                {"evidence", evidence},
+                {"suspects", textOf(suspects)},
+                {"states", statesOf(suspects)}});
     if (suspects.empty()) {
         return;
     }
--- a/fulmarlink/gatewaycrashes.cpp
+++ b/fulmarlink/gatewaycrashes.cpp
@@ -60,7 +60,8 @@
 {
     const TimePoint now = m_state.clock.now();
     const bool broken = end == AttemptEnd::Broken && !m_callerGone;
-    m_state.attempts.recordEnd(m_attempt, broken ? RunnerAttempts::Outcome::Broken : RunnerAttempts::Outcome::Resolved, now);
+    const RunnerAttempts::Outcome brokenOutcome = m_connectionLost ? RunnerAttempts::Outcome::Lost : RunnerAttempts::Outcome::Broken;
+    m_state.attempts.recordEnd(m_attempt, broken ? brokenOutcome : RunnerAttempts::Outcome::Resolved, now);
     if (end == AttemptEnd::Answered || end == AttemptEnd::Failed) {
         m_state.crashes.requestCompleted(m_fingerprint, now);
     }
--- a/fulmarlink/runnerattempts.cpp
+++ b/fulmarlink/runnerattempts.cpp
@@ -5,6 +5,19 @@
 namespace fulmarlink
 {
 
+std::string_view suspectStateName(SuspectState state)
+{
+    switch (state) {
+    case SuspectState::InProgress:
+        return "in-progress";
+    case SuspectState::Lost:
+        return "lost";
+    case SuspectState::GivenUp:
+        return "given-up";
+    }
+    return "in-progress";
+}
+
 RunnerAttempts::Token RunnerAttempts::add(const TargetIncarnation &incarnation, CrashSuspect suspect)
 {
     m_attempts.emplace(++m_lastToken, Attempt{incarnation, std::move(suspect)});
@@ -29,6 +42,7 @@
         m_attempts.erase(it);
     } else {
         it->second.inProgress = false;
+        it->second.suspect.state = outcome == Outcome::Lost ? SuspectState::Lost : SuspectState::GivenUp;
         it->second.endedAt = now;
     }
     removeExpired(now);
--- a/fulmarlink/runnerattempts.h
+++ b/fulmarlink/runnerattempts.h
@@ -29,7 +29,8 @@
     /** How an attempt ended. */
     enum class Outcome : std::uint8_t {
         Resolved, ///< answered, refused, or abandoned by its caller: not a suspect if the runner ends later
-        Broken, ///< broken off before a complete answer or a refusal
+        Broken, ///< given up by this host before a complete answer or a refusal
+        Lost, ///< its connection was closed by the runner or the network before a complete answer or a refusal
     };
 
     Token add(const TargetIncarnation &incarnation, CrashSuspect suspect);
