Retries: a request is not sent again under two ended runners

Now a host does not send a request again once two runners have ended under it, or may have: ends that are recorded, and lost or given-up attempts of this exchange whose runner may turn out to have ended. A runner that does not answer a new connection in time counts as one that may have ended; it was taken for alive before, and a request without an event was sent on.

Ruled out: counting progress in the request's favour, since a request that crashes runners late makes progress too.

CrashingRequestLoad.StreamIsNotResumedUnderTwoEndedRunners failed before: three runners, one request banned, 503 to its caller's repeat.

--- a/fulmarlink/attemptpolicy.cpp
+++ b/fulmarlink/attemptpolicy.cpp
@@ -16,7 +16,7 @@
     if (state.ran >= state.maxAttempts) {
         return false;
     }
-    if (state.runnerEnded && !mutated(Mutation::ResendAfterCrash)) {
+    if ((state.runnerEnded || state.endedRunners >= kMaxEndedRunners) && !mutated(Mutation::ResendAfterCrash)) {
         return false;
     }
     return state.answerBegun ? state.resumable : state.repeatable || mutated(Mutation::RepeatAfterRun);
--- a/fulmarlink/attemptpolicy.h
+++ b/fulmarlink/attemptpolicy.h
@@ -34,6 +34,7 @@
      * its caller has to repeat it.
      */
     bool runnerEnded = false;
+    unsigned endedRunners = 0; ///< runners that ended, or may have, while the request was in progress there, for this attempt of the caller or earlier ones
 };
 
 /** The next step for a request after an attempt. */
@@ -45,6 +46,12 @@
     Unknown, ///< tell the caller that the outcome is unknown, or abort an answer that has begun
 };
 
+/**
+ * Ended runners after which a request is not resent automatically. A third end would ban it, and where runners end for other reasons that
+ * evidence would be of this host's own making.
+ */
+inline constexpr unsigned kMaxEndedRunners = 2;
+
 /** Maximum number of sends of one request, including refused ones; bounds the work that one caller can cause. */
 inline constexpr unsigned kMaxSends = 4;
 
--- a/fulmarlink/crashwatch.cpp
+++ b/fulmarlink/crashwatch.cpp
@@ -194,7 +194,7 @@
     }
 }
 
-asio::awaitable<bool> CrashWatch::refusesConnections(const TargetInfo &target)
+asio::awaitable<RunnerProbe> CrashWatch::connect(const TargetInfo &target)
 {
     boost::system::error_code error;
     const auto address = asio::ip::make_address(target.address.address, error);
@@ -206,21 +206,22 @@
     if (!error) {
         connection->idleLimit = TargetConnections::kDefaultIdle;
         m_state.connections->release(std::move(connection));
+        co_return RunnerProbe::Accepts;
     }
-    co_return error == asio::error::connection_refused;
+    co_return error == asio::error::connection_refused ? RunnerProbe::Refuses : RunnerProbe::Silent;
 }
 
-asio::awaitable<bool> CrashWatch::seemsEnded(TargetInfo target)
+asio::awaitable<RunnerProbe> CrashWatch::probe(TargetInfo target)
 {
     const TargetIncarnation incarnation = incarnationOf(target);
     if (m_ended.contains(incarnation) || m_unconfirmed.contains(incarnation)) {
-        co_return true;
+        co_return RunnerProbe::Refuses;
     }
-    const bool refused = co_await refusesConnections(target);
-    if (refused && m_unconfirmed.insert(incarnation).second) {
+    const RunnerProbe result = co_await connect(target);
+    if (result == RunnerProbe::Refuses && m_unconfirmed.insert(incarnation).second) {
         asio::co_spawn(m_context, confirmEnded(std::move(target)), asio::detached);
     }
-    co_return refused;
+    co_return result;
 }
 
 /**
@@ -235,7 +236,8 @@
     bool hasEnded = false;
     for (unsigned probe = 1; probe <= kProbes && refused && !hasEnded; ++probe) {
         co_await sleep(kProbeInterval);
-        refused = co_await refusesConnections(target);
+        const RunnerProbe result = co_await connect(target);
+        refused = result == RunnerProbe::Refuses;
         const bool silent = probe == kProbes && m_state.targets.lastReceived(incarnation.id) < began;
         hasEnded = refused && (silent || !m_state.attempts.anyInProgress(incarnation));
     }
--- a/fulmarlink/crashwatch.h
+++ b/fulmarlink/crashwatch.h
@@ -3,6 +3,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <deque>
 #include <set>
 #include <string>
@@ -18,6 +19,13 @@
 class Platform;
 struct SharedRecordsRead;
 
+/** What a new connection to a runner shows. */
+enum class RunnerProbe : std::uint8_t {
+    Accepts,
+    Refuses, ///< no process listens there
+    Silent, ///< neither in time
+};
+
 /**
  * Detects runners that have ended, and shares the requests that were in progress there with
  * all hosts through the store.
@@ -43,9 +51,9 @@
 
     /**
      * For an attempt whose connection broke off: whether the runner seems to have ended. Costs one new connection; if the runner
-     * accepts it, it joins the connection pool, otherwise the check continues in the background.
+     * accepts it, it joins the connection pool; if it refuses it, the check continues in the background.
      */
-    boost::asio::awaitable<bool> seemsEnded(TargetInfo target);
+    boost::asio::awaitable<RunnerProbe> probe(TargetInfo target);
     /**
      * The list of runners shows that the runner has restarted: all of its incarnations have ended but the one that started at
      * @p born (0 if it is no longer listed under this id).
@@ -55,7 +63,7 @@
     boost::asio::awaitable<bool> claimTrial(CrashSuspect suspect);
 
 private:
-    boost::asio::awaitable<bool> refusesConnections(const TargetInfo &target);
+    boost::asio::awaitable<RunnerProbe> connect(const TargetInfo &target);
     boost::asio::awaitable<void> confirmEnded(TargetInfo target);
     boost::asio::awaitable<void> sleep(Duration duration);
     void handleEnded(const TargetIncarnation &incarnation, std::string_view evidence);
--- a/fulmarlink/gatewaycrashes.cpp
+++ b/fulmarlink/gatewaycrashes.cpp
@@ -55,6 +55,14 @@
     co_return refuse(ResultCode::RequestEndsRunners, m_state.settings.crashes.holdTime);
 }
 
+/** Runners that ended under the request, as far as is known, and those of this exchange's broken attempts that may have. */
+unsigned GatewayExchange::endedRunners()
+{
+    const TimePoint now = m_state.clock.now();
+    const std::size_t unresolved = m_state.attempts.unresolved(m_brokenAttempts, now);
+    return m_state.crashes.status(m_fingerprint, now).crashes + static_cast<unsigned>(unresolved);
+}
+
 /** Records the end of the attempt: in the runner's attempts, for the request's crash status, and, if the connection broke off, whether the runner ended. */
 asio::awaitable<void> GatewayExchange::recordCrashEvidence(const TargetInfo &target, AttemptEnd end)
 {
@@ -65,9 +73,13 @@
     if (end == AttemptEnd::Answered || end == AttemptEnd::Failed) {
         m_state.crashes.requestCompleted(m_fingerprint, now);
     }
-    if (broken && m_connectionLost) {
-        const bool ended = co_await m_state.crashWatch->seemsEnded(target);
-        m_runnerEnded = ended && m_events.events() == m_eventsBefore;
+    if (!broken) {
+        co_return;
+    }
+    m_brokenAttempts.push_back(m_attempt);
+    if (m_connectionLost) {
+        const RunnerProbe probe = co_await m_state.crashWatch->probe(target);
+        m_runnerEnded = probe != RunnerProbe::Accepts && m_events.events() == m_eventsBefore;
     }
 }
 
--- a/fulmarlink/gatewayexchange.cpp
+++ b/fulmarlink/gatewayexchange.cpp
@@ -218,7 +218,7 @@
     }
 }
 
-AttemptState GatewayExchange::attemptState(AttemptEnd end) const
+AttemptState GatewayExchange::attemptState(AttemptEnd end)
 {
     AttemptState state;
     state.end = end;
@@ -230,6 +230,7 @@
     state.maxAttempts = m_route.maxAttempts;
     state.timeLeft = timeLeft() > kMinTimeToSend;
     state.runnerEnded = m_runnerEnded;
+    state.endedRunners = endedRunners();
     return state;
 }
 
--- a/fulmarlink/gatewayexchange.h
+++ b/fulmarlink/gatewayexchange.h
@@ -88,7 +88,8 @@
     bool shouldMoveStream();
     Duration timeLeft() const;
     Duration answerTimeout() const;
-    AttemptState attemptState(AttemptEnd end) const;
+    AttemptState attemptState(AttemptEnd end);
+    unsigned endedRunners();
     ResultCode unknownOutcomeCode() const;
     void log() const;
     bool mustCloseConnection() const;
@@ -124,7 +125,8 @@
     bool m_trialDue = false; ///< the request is held back after crashes and a trial run is due
     bool m_heldBack = false; ///< by crashes that became known after admission
     bool m_connectionLost = false; ///< the last attempt's connection was broken by the runner or the network, not by a timeout
-    bool m_runnerEnded = false; ///< the last attempt's runner ended before it sent an event
+    bool m_runnerEnded = false; ///< the last attempt's runner ended, or may have, before it sent an event
+    std::vector<RunnerAttempts::Token> m_brokenAttempts; ///< attempts whose outcome is unknown
     RunnerAttempts::Token m_attempt = 0; ///< of the last attempt
     TimePoint m_attemptSent{}; ///< send time of the last attempt
     std::optional<Duration> m_backoff; ///< requested by the runner of the last attempt
--- a/fulmarlink/runnerattempts.cpp
+++ b/fulmarlink/runnerattempts.cpp
@@ -32,6 +32,15 @@
     }
 }
 
+std::size_t RunnerAttempts::unresolved(std::span<const Token> tokens, TimePoint now)
+{
+    removeExpired(now);
+    return static_cast<std::size_t>(std::ranges::count_if(tokens, [this](Token token) {
+        const auto it = m_attempts.find(token);
+        return it != m_attempts.end() && !it->second.inProgress;
+    }));
+}
+
 void RunnerAttempts::recordEnd(Token token, Outcome outcome, TimePoint now)
 {
     const auto it = m_attempts.find(token);
--- a/fulmarlink/runnerattempts.h
+++ b/fulmarlink/runnerattempts.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <span>
 #include <vector>
 
 #include "fulmarlink/clock.h"
@@ -37,6 +38,8 @@
     /** Call when the first event of the answer arrives. */
     void markAnswering(Token token);
     void recordEnd(Token token, Outcome outcome, TimePoint now);
+    /** Number of these attempts that have been lost or given up, and of which it is not known yet whether their runner ended. */
+    std::size_t unresolved(std::span<const Token> tokens, TimePoint now);
 
     bool anyInProgress(const TargetIncarnation &incarnation) const;
     /** Returns the attempts at @p incarnation that are in progress or broke within kRetention, each of them once. */
--- a/testing/attemptpolicy_test.cpp
+++ b/testing/attemptpolicy_test.cpp
@@ -70,6 +70,22 @@
     EXPECT_EQ(nextStep(state), NextStep::RefuseNotRun);
 }
 
+// Guards against a stream that is resumed at one ended runner after the other until its own resumptions ban it.
+TEST(AttemptPolicy, DoesNotResendUnderTwoEndedRunners)
+{
+    AttemptState state;
+    state.end = AttemptEnd::Broken;
+    state.answerBegun = true;
+    state.resumable = true;
+    state.ran = 2;
+    state.sends = 2;
+    state.maxAttempts = 3;
+    state.endedRunners = 1;
+    EXPECT_EQ(nextStep(state), NextStep::Again);
+    state.endedRunners = 2;
+    EXPECT_EQ(nextStep(state), NextStep::Unknown);
+}
+
 TEST(AttemptPolicy, ForwardsTheRunnerFailureWhenNoAttemptIsLeft)
 {
     AttemptState state;
--- a/testing/crashingrequest_test.cpp
+++ b/testing/crashingrequest_test.cpp
@@ -223,6 +223,33 @@
     }
 }
 
+// Guards against a host that resumes a stream at one ended runner after the other, and then bans it for ends that its own resumptions met.
+TEST(CrashingRequestLoad, StreamIsNotResumedUnderTwoEndedRunners)
+{
+    constexpr unsigned kRunners = 5;
+    GatewayFleet fleet({.gateways = 1, .runners = kRunners, .restartDelay = 3000ms, .workTime = 100ms});
+    ASSERT_TRUE(fleet.start());
+    const auto answer = fleet.send(0, fleet.request("/stream/long"));
+    for (unsigned end = 1; end <= 3; ++end) {
+        fleet.runUntil(
+            [&fleet, end] {
+                return fleet.arrivalCount("/stream/long") >= end;
+            },
+            1000ms);
+        fleet.runFor(250ms);
+        for (unsigned i = 0; i < kRunners; ++i) {
+            if (!fleet.requestsAt(i).empty() && fleet.isRunning(i)) {
+                fleet.crashRunner(i);
+            }
+        }
+    }
+    fleet.runFor(1000ms);
+    EXPECT_EQ(fleet.arrivalCount("/stream/long"), 2U);
+    EXPECT_FALSE(answer->whole);
+    EXPECT_EQ(fleet.counterSum("fulmarlink_requests_held_back"), 0U);
+    EXPECT_EQ(fleet.ask(0, fleet.request("/stream/long")).status, 200U) << "its caller may repeat it";
+}
+
 // The last packets of a crashed runner are lost, so other attempts on it still look in progress.
 TEST(CrashingRequestLoad, CrashIsDetectedWhenOtherConnectionsSeeNoReset)
 {
--- a/testing/harness/gatewayfleet.cpp
+++ b/testing/harness/gatewayfleet.cpp
@@ -300,6 +300,11 @@
     return m_arrivalsAt[runner];
 }
 
+bool GatewayFleet::isRunning(unsigned runner) const
+{
+    return m_up[runner];
+}
+
 unsigned GatewayFleet::runningRunners() const
 {
     return static_cast<unsigned>(std::ranges::count(m_up, true));
--- a/testing/harness/gatewayfleet.h
+++ b/testing/harness/gatewayfleet.h
@@ -93,6 +93,7 @@
     /** Times at which requests reached a runner, whether they ran or not, in order. */
     const std::vector<Time> &arrivalTimesAt(unsigned runner) const;
 
+    bool isRunning(unsigned runner) const;
     unsigned runningRunners() const;
     /** Number of runner crashes caused by requests to @p path. */
     std::size_t crashCount(const std::string &path) const;
--- a/testing/runnerattempts_test.cpp
+++ b/testing/runnerattempts_test.cpp
@@ -81,4 +81,18 @@
     EXPECT_FALSE(suspects[1].answerStarted);
 }
 
+TEST(RunnerAttempts, UnresolvedAttemptsAreThoseWhoseRunnerMayHaveEnded)
+{
+    RunnerAttempts attempts;
+    const std::vector tokens{attempts.add(kIncarnation, suspect(1)), attempts.add(kOtherRunner, suspect(1)), attempts.add(kNextIncarnation, suspect(1))};
+    EXPECT_EQ(attempts.unresolved(tokens, at(0ms)), 0U) << "in progress";
+    attempts.recordEnd(tokens[0], Outcome::Lost, at(0ms));
+    attempts.recordEnd(tokens[1], Outcome::Broken, at(0ms));
+    attempts.recordEnd(tokens[2], Outcome::Resolved, at(0ms));
+    EXPECT_EQ(attempts.unresolved(tokens, at(1ms)), 2U);
+    attempts.takeSuspects(kIncarnation, at(1ms));
+    EXPECT_EQ(attempts.unresolved(tokens, at(1ms)), 1U) << "the end of the other runner is recorded";
+    EXPECT_EQ(attempts.unresolved(tokens, at(6s)), 0U);
+}
+
 } // namespace fulmarlink::testing
