Crash history: an attempt that its host gave up hardly counts against the request

An attempt that was given up counted like one in progress for 5 s, though its connection was closed and its runner went on with others.

A given-up attempt now counts towards a ban only, since the runner may not have begun it. If the runner has answered others since, it is no suspect; the record has it as an unlikely one, and one crash of that kind does not count towards a ban. A lost attempt at a runner that accepts new connections counts as given up.

--- a/fulmarlink/crashhistory.h
+++ b/fulmarlink/crashhistory.h
@@ -28,6 +28,7 @@
 struct CrashStatus {
     CrashVerdict verdict = CrashVerdict::Clear;
     unsigned crashes = 0; ///< runner incarnations that ended with it in progress and of which it is not cleared
+    unsigned explained = 0; ///< those of them that do not count towards a ban: they have another explanation
     unsigned trials = 0; ///< claimed so far, on all hosts
     Duration retryAfter{0}; ///< for HeldBack and Banned
 };
@@ -50,6 +51,10 @@
  * progress, and a request that completes is cleared of all earlier crashes. A request that
  * crashes runners never completes.
  *
+ * A request that had begun to be answered at a runner does not count towards a ban for that
+ * runner if its host had given it up there before the runner answered others. That holds for a
+ * limited number of runners.
+ *
  * Contract: records of the same incarnation count once, whichever hosts wrote them. No
  * I/O; not thread-safe; status() is O(log n) in the number of requests.
  */
@@ -85,6 +90,7 @@
     struct Crash {
         TimePoint receivedAt{};
         bool answerStarted = true; ///< in every record of this incarnation
+        bool unlikely = true; ///< in every record of this incarnation
     };
 
     struct Request {
@@ -108,6 +114,7 @@
     void rebuildIndex();
     void evictRecords();
     bool holdsBack(const CrashRecord &record) const;
+    unsigned explainedCrashes(const Request &request) const;
     static unsigned unclearedCrashes(const Request &request);
 
     const CrashPolicy m_policy;
--- a/fulmarlink/crashpolicy.h
+++ b/fulmarlink/crashpolicy.h
@@ -23,6 +23,11 @@
      * repeated again and again gain by an earlier trial.
      */
     Duration holdTime = std::chrono::minutes(5);
+    /**
+     * Crashes after the answer had started that may be explained without the request. Bounds the additional runners of a request that crashes them
+     * late in its answer, or after its host has given it up.
+     */
+    unsigned maxExplainedCrashes = 1;
     /** A request that completed within this time before a crash is not at fault: equal requests of many callers are in progress on all runners at any time. */
     Duration completionWindow = std::chrono::seconds(10);
     /** Retry-After of a banned request: longer than any caller waits, shorter than an operator's shift. */
--- a/fulmarlink/crashrecord.h
+++ b/fulmarlink/crashrecord.h
@@ -26,6 +26,7 @@
     InProgress,
     Lost, ///< the runner or the network had closed its connection
     GivenUp, ///< this host had closed its connection: no answer in time, or bytes that are not an answer
+    Survived, ///< given up, and the runner had answered others since
 };
 
 std::string_view suspectStateName(SuspectState state);
@@ -35,7 +36,8 @@
     RequestFingerprint fingerprint;
     std::string customer; ///< for operators
     std::string route; ///< for operators
-    bool answerStarted = false; ///< parts of its answer had been received, so the runner had survived its start
+    bool answerStarted = false; ///< parts of its answer had been received, or may have been: counts towards a ban only
+    bool unlikely = false; ///< the runner had answered others after this host had given the request up
     SuspectState state = SuspectState::InProgress; ///< for this host's log; not part of the record
 };
 
--- a/fulmarlink/crashwatch.cpp
+++ b/fulmarlink/crashwatch.cpp
@@ -2,10 +2,12 @@
 
 #include "fulmarlink/crashwatch.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <iterator>
 
 #include "fulmarlink/limitwatch.h"
 #include "fulmarlink/log.h"
@@ -249,6 +251,11 @@
     }
 }
 
+void CrashWatch::runnerAnswered(const TargetIncarnation &incarnation)
+{
+    m_state.attempts.recordAnswer(incarnation);
+}
+
 void CrashWatch::restarted(const std::string &targetId, std::uint64_t born)
 {
     for (const TargetIncarnation &incarnation : m_state.attempts.incarnationsOf(targetId, m_state.clock.now())) {
@@ -262,6 +269,7 @@
 {
     const TimePoint now = m_state.clock.now();
     std::vector<CrashSuspect> suspects = m_state.attempts.takeSuspects(incarnation, now);
+    std::ranges::move(m_state.attempts.takeSurvived(incarnation, now), std::back_inserter(suspects));
     std::erase_if(suspects, [&](const CrashSuspect &suspect) {
         return m_state.crashes.completedRecently(suspect.fingerprint, now);
     });
@@ -285,7 +293,7 @@
     }
     CrashRecord record = newRecord(CrashRecordKind::Crash, "crash." + incarnation.id + '.' + std::to_string(incarnation.born));
     record.incarnations.push_back(incarnation);
-    record.suspects = std::move(suspects);
+    record.suspects = crashEvidence(std::move(suspects));
     enqueue(record);
     apply(std::move(record));
     queueClearances();
--- a/fulmarlink/crashwatch.h
+++ b/fulmarlink/crashwatch.h
@@ -54,6 +54,8 @@
      * accepts it, it joins the connection pool; if it refuses it, the check continues in the background.
      */
     boost::asio::awaitable<RunnerProbe> probe(TargetInfo target);
+    /** Call when a runner answers any attempt, also to refuse it. */
+    void runnerAnswered(const TargetIncarnation &incarnation);
     /**
      * The list of runners shows that the runner has restarted: all of its incarnations have ended but the one that started at
      * @p born (0 if it is no longer listed under this id).
--- a/fulmarlink/gatewaycrashes.cpp
+++ b/fulmarlink/gatewaycrashes.cpp
@@ -80,6 +80,9 @@
     if (m_connectionLost) {
         const RunnerProbe probe = co_await m_state.crashWatch->probe(target);
         m_runnerEnded = probe != RunnerProbe::Accepts && m_events.events() == m_eventsBefore;
+        if (probe == RunnerProbe::Accepts) {
+            m_state.attempts.markAccepting(m_attempt);
+        }
     }
 }
 
--- a/fulmarlink/gatewayrelay.cpp
+++ b/fulmarlink/gatewayrelay.cpp
@@ -17,6 +17,7 @@
 #include <boost/beast/http/write.hpp>
 #include <charconv>
 
+#include "fulmarlink/crashwatch.h"
 #include "fulmarlink/limitwatch.h"
 #include "fulmarlink/mutation.h"
 #include "fulmarlink/signalwatch.h"
@@ -165,6 +166,9 @@
         if (answer.load) {
             m_state.targets.loadReported(target.id, *answer.load, now);
         }
+        if (answer.speaksForTarget) {
+            m_state.crashWatch->runnerAnswered({target.id, target.born});
+        }
         if (answer.notRun) {
             recordRunnerRefusal(target, answer);
             m_reason = "refused " + std::to_string(head.result_int()) + (answer.faultyTarget.empty() ? "" : " by " + answer.faultyTarget);
--- a/fulmarlink/runnerattempts.cpp
+++ b/fulmarlink/runnerattempts.cpp
@@ -14,10 +14,21 @@
         return "lost";
     case SuspectState::GivenUp:
         return "given-up";
+    case SuspectState::Survived:
+        return "survived";
     }
     return "in-progress";
 }
 
+std::vector<CrashSuspect> crashEvidence(std::vector<CrashSuspect> suspects)
+{
+    for (CrashSuspect &suspect : suspects) {
+        suspect.unlikely = suspect.state == SuspectState::Survived;
+        suspect.answerStarted = suspect.answerStarted || suspect.state == SuspectState::GivenUp || suspect.state == SuspectState::Survived;
+    }
+    return suspects;
+}
+
 RunnerAttempts::Token RunnerAttempts::add(const TargetIncarnation &incarnation, CrashSuspect suspect)
 {
     m_attempts.emplace(++m_lastToken, Attempt{incarnation, std::move(suspect)});
@@ -25,10 +36,29 @@
 }
 
 void RunnerAttempts::markAnswering(Token token)
+{
+    const auto it = m_attempts.find(token);
+    if (it == m_attempts.end()) {
+        return;
+    }
+    it->second.suspect.answerStarted = true;
+    recordAnswer(it->second.incarnation);
+}
+
+void RunnerAttempts::recordAnswer(const TargetIncarnation &incarnation)
+{
+    for (auto &[token, attempt] : m_attempts) {
+        if (attempt.suspect.state == SuspectState::GivenUp && attempt.incarnation == incarnation) {
+            attempt.suspect.state = SuspectState::Survived;
+        }
+    }
+}
+
+void RunnerAttempts::markAccepting(Token token)
 {
     const auto it = m_attempts.find(token);
     if (it != m_attempts.end()) {
-        it->second.suspect.answerStarted = true;
+        it->second.suspect.state = SuspectState::GivenUp;
     }
 }
 
@@ -37,7 +67,7 @@
     removeExpired(now);
     return static_cast<std::size_t>(std::ranges::count_if(tokens, [this](Token token) {
         const auto it = m_attempts.find(token);
-        return it != m_attempts.end() && !it->second.inProgress;
+        return it != m_attempts.end() && !it->second.inProgress && it->second.suspect.state != SuspectState::Survived;
     }));
 }
 
@@ -72,11 +102,22 @@
 }
 
 std::vector<CrashSuspect> RunnerAttempts::takeSuspects(const TargetIncarnation &incarnation, TimePoint now)
+{
+    return take(incarnation, false, now);
+}
+
+std::vector<CrashSuspect> RunnerAttempts::takeSurvived(const TargetIncarnation &incarnation, TimePoint now)
+{
+    return take(incarnation, true, now);
+}
+
+std::vector<CrashSuspect> RunnerAttempts::take(const TargetIncarnation &incarnation, bool survived, TimePoint now)
 {
     removeExpired(now);
     std::vector<CrashSuspect> result;
     for (auto &[token, attempt] : m_attempts) {
-        if (attempt.incarnation != incarnation || attempt.reported) {
+        const bool wanted = (attempt.suspect.state == SuspectState::Survived) == survived;
+        if (!wanted || attempt.incarnation != incarnation || attempt.reported) {
             continue;
         }
         attempt.reported = true;
--- a/fulmarlink/runnerattempts.h
+++ b/fulmarlink/runnerattempts.h
@@ -11,6 +11,11 @@
 namespace fulmarlink
 {
 
+/**
+ * Returns the suspects as a crash record has them. A runner may not have begun a given-up attempt, so that one counts towards a ban only.
+ */
+std::vector<CrashSuspect> crashEvidence(std::vector<CrashSuspect> suspects);
+
 /**
  * This host's attempts at each incarnation of a runner: those in progress, and those that
  * broke recently. They are the suspects if the runner is found to have ended.
@@ -27,7 +32,7 @@
      */
     static constexpr Duration kRetention = std::chrono::seconds(5);
 
-    /** How an attempt ended. */
+    /** How an attempt ended. A given-up attempt is no suspect once its runner answers another one. */
     enum class Outcome : std::uint8_t {
         Resolved, ///< answered, refused, or abandoned by its caller: not a suspect if the runner ends later
         Broken, ///< given up by this host before a complete answer or a refusal
@@ -35,15 +40,21 @@
     };
 
     Token add(const TargetIncarnation &incarnation, CrashSuspect suspect);
-    /** Call when the first event of the answer arrives. */
+    /** Call when an event of the answer arrives. */
     void markAnswering(Token token);
+    /** Call when the runner answers any attempt. */
+    void recordAnswer(const TargetIncarnation &incarnation);
     void recordEnd(Token token, Outcome outcome, TimePoint now);
+    /** The runner accepts new connections after it has lost that of the attempt, which counts as given up from now on. */
+    void markAccepting(Token token);
     /** Number of these attempts that have been lost or given up, and of which it is not known yet whether their runner ended. */
     std::size_t unresolved(std::span<const Token> tokens, TimePoint now);
 
     bool anyInProgress(const TargetIncarnation &incarnation) const;
-    /** Returns the attempts at @p incarnation that are in progress or broke within kRetention, each of them once. */
+    /** Returns the attempts at @p incarnation that are in progress or broke within kRetention, each of them once, without takeSurvived(). */
     std::vector<CrashSuspect> takeSuspects(const TargetIncarnation &incarnation, TimePoint now);
+    /** Returns the attempts at @p incarnation that were given up within kRetention before the runner answered others, each of them once. */
+    std::vector<CrashSuspect> takeSurvived(const TargetIncarnation &incarnation, TimePoint now);
     /** Returns the incarnations of the runner @p id with attempts that are in progress or broke within kRetention. */
     std::vector<TargetIncarnation> incarnationsOf(const std::string &id, TimePoint now);
 
@@ -56,6 +67,7 @@
         TimePoint endedAt{};
     };
 
+    std::vector<CrashSuspect> take(const TargetIncarnation &incarnation, bool survived, TimePoint now);
     void removeExpired(TimePoint now);
 
     std::map<Token, Attempt> m_attempts;
--- a/testing/crashhistory_test.cpp
+++ b/testing/crashhistory_test.cpp
@@ -207,6 +207,34 @@
     EXPECT_FALSE(history.completedRecently(suspect(984).fingerprint, at(11s)));
 }
 
+namespace
+{
+
+/** A crash record written at @p time. */
+CrashRecord crashAt(std::chrono::milliseconds time, unsigned runner, std::vector<CrashSuspect> suspects)
+{
+    CrashRecord record = crash("r" + std::to_string(runner), incarnation(runner), std::move(suspects));
+    record.writtenAt = time;
+    return record;
+}
+
+} // namespace
+
+// Guards against a request banned because it had been given up at runners that went on and ended later, and against one that gets a runner more
+// each time it is given up at a runner that begins it all the same.
+TEST(CrashHistory, OneCrashAfterTheRequestWasGivenUpIsExplained)
+{
+    CrashHistory history;
+    CrashSuspect survived = suspect(1, true);
+    survived.unlikely = true;
+    history.add(crashAt(1000ms, 1, {survived}), at(1s));
+    history.add(crashAt(2000ms, 2, {survived}), at(2s));
+    history.add(crashAt(3000ms, 3, {survived}), at(3s));
+    EXPECT_EQ(verdict(history, 3s), CrashVerdict::Suspect);
+    history.add(crashAt(4000ms, 4, {survived}), at(4s));
+    EXPECT_EQ(verdict(history, 4s), CrashVerdict::Banned);
+}
+
 // Records may arrive in any order and more than once.
 TEST(CrashHistory, VerdictsAreIndependentOfRecordOrder)
 {
--- a/testing/runnerattempts_test.cpp
+++ b/testing/runnerattempts_test.cpp
@@ -81,6 +81,35 @@
     EXPECT_FALSE(suspects[1].answerStarted);
 }
 
+// Guards against a request suspected of the end of a runner that had answered others after the request was given up there.
+TEST(RunnerAttempts, AnswerOfTheRunnerClearsGivenUpAttemptsOnly)
+{
+    RunnerAttempts attempts;
+    const auto given = attempts.add(kIncarnation, suspect(1));
+    const auto lost = attempts.add(kIncarnation, suspect(2));
+    const auto elsewhere = attempts.add(kOtherRunner, suspect(3));
+    attempts.add(kIncarnation, suspect(4));
+    attempts.recordEnd(given, Outcome::Broken, at(0ms));
+    attempts.recordEnd(lost, Outcome::Lost, at(0ms));
+    attempts.recordEnd(elsewhere, Outcome::Broken, at(0ms));
+    attempts.recordAnswer(kIncarnation);
+    EXPECT_EQ(numbers(attempts.takeSuspects(kIncarnation, at(1ms))), (std::vector<std::uint64_t>{2, 4})) << "lost packets may precede the answer";
+    EXPECT_EQ(numbers(attempts.takeSurvived(kIncarnation, at(1ms))), std::vector<std::uint64_t>{1});
+    EXPECT_EQ(numbers(attempts.takeSuspects(kOtherRunner, at(1ms))), std::vector<std::uint64_t>{3});
+}
+
+TEST(RunnerAttempts, LostAttemptAtARunnerThatAcceptsConnectionsIsClearedByItsNextAnswer)
+{
+    RunnerAttempts attempts;
+    const auto lost = attempts.add(kIncarnation, suspect(1));
+    attempts.recordEnd(lost, Outcome::Lost, at(0ms));
+    attempts.markAccepting(lost);
+    EXPECT_EQ(attempts.unresolved(std::vector{lost}, at(1ms)), 1U);
+    attempts.recordAnswer(kIncarnation);
+    EXPECT_EQ(attempts.unresolved(std::vector{lost}, at(1ms)), 0U);
+    EXPECT_TRUE(attempts.takeSuspects(kIncarnation, at(1ms)).empty());
+}
+
 TEST(RunnerAttempts, UnresolvedAttemptsAreThoseWhoseRunnerMayHaveEnded)
 {
     RunnerAttempts attempts;
@@ -95,4 +124,18 @@
     EXPECT_EQ(attempts.unresolved(tokens, at(6s)), 0U);
 }
 
+// Guards against a request held back because its host had given it up at one of two runners before they ended.
+TEST(RunnerAttempts, GivenUpAttemptDoesNotShowThatTheAnswerHadNotStarted)
+{
+    RunnerAttempts attempts;
+    const auto lost = attempts.add(kIncarnation, suspect(1));
+    const auto given = attempts.add(kIncarnation, suspect(2));
+    attempts.recordEnd(lost, Outcome::Lost, at(0ms));
+    attempts.recordEnd(given, Outcome::Broken, at(0ms));
+    const std::vector<CrashSuspect> evidence = crashEvidence(attempts.takeSuspects(kIncarnation, at(1ms)));
+    ASSERT_EQ(evidence.size(), 2U);
+    EXPECT_FALSE(evidence[0].answerStarted);
+    EXPECT_TRUE(evidence[1].answerStarted);
+}
+
 } // namespace fulmarlink::testing
