Crash records: an attempt in progress does not show that its answer had not started

Such an attempt now counts towards a ban only. If its connection is then lost without an event, a further record says so. Attempts sent to a runner after it was found to have ended are not recorded as suspects any more when the list of runners shows its restart, unless it has answered meanwhile.

RunnerAttempts.OnlyALostAttemptWithoutAnEventShowsThatTheAnswerHadNotStarted fails with the rule before it.

--- a/fulmarlink/crashwatch.cpp
+++ b/fulmarlink/crashwatch.cpp
@@ -254,12 +254,14 @@
 void CrashWatch::runnerAnswered(const TargetIncarnation &incarnation)
 {
     m_state.attempts.recordAnswer(incarnation);
+    m_ended.erase(incarnation);
 }
 
 void CrashWatch::restarted(const std::string &targetId, std::uint64_t born)
 {
     for (const TargetIncarnation &incarnation : m_state.attempts.incarnationsOf(targetId, m_state.clock.now())) {
-        if (incarnation.born != born) {
+        const bool handled = m_ended.contains(incarnation); // then these attempts were sent after its end
+        if (incarnation.born != born && !handled) {
             handleEnded(incarnation, "started-again");
         }
     }
@@ -291,14 +293,26 @@
     if (suspects.empty()) {
         return;
     }
+    recordCrash(incarnation, crashEvidence(std::move(suspects)));
+}
+
+void CrashWatch::recordCrash(const TargetIncarnation &incarnation, std::vector<CrashSuspect> suspects)
+{
     CrashRecord record = newRecord(CrashRecordKind::Crash, "crash." + incarnation.id + '.' + std::to_string(incarnation.born));
     record.incarnations.push_back(incarnation);
-    record.suspects = crashEvidence(std::move(suspects));
+    record.suspects = std::move(suspects);
     enqueue(record);
     apply(std::move(record));
     queueClearances();
 }
 
+void CrashWatch::suspectLost(const TargetIncarnation &incarnation, CrashSuspect suspect)
+{
+    if (!m_state.crashes.completedRecently(suspect.fingerprint, m_state.clock.now())) {
+        recordCrash(incarnation, {std::move(suspect)});
+    }
+}
+
 /** Returns a record of this host. Its name is unique: the prefix, the host, the time and a counter. */
 CrashRecord CrashWatch::newRecord(CrashRecordKind kind, const std::string &namePrefix) const
 {
--- a/fulmarlink/crashwatch.h
+++ b/fulmarlink/crashwatch.h
@@ -61,6 +61,10 @@
      * @p born (0 if it is no longer listed under this id).
      */
     void restarted(const std::string &targetId, std::uint64_t born);
+    /**
+     * A suspect that was in progress when its runner was found to have ended has lost its connection without an event: adds that to the record.
+     */
+    void suspectLost(const TargetIncarnation &incarnation, CrashSuspect suspect);
     /** Claims the next trial of a request that is held back; true on one host only. */
     boost::asio::awaitable<bool> claimTrial(CrashSuspect suspect);
 
@@ -69,6 +73,7 @@
     boost::asio::awaitable<void> confirmEnded(TargetInfo target);
     boost::asio::awaitable<void> sleep(Duration duration);
     void handleEnded(const TargetIncarnation &incarnation, std::string_view evidence);
+    void recordCrash(const TargetIncarnation &incarnation, std::vector<CrashSuspect> suspects);
     void apply(SharedRecordsRead read);
     void apply(CrashRecord record);
     void enqueue(CrashRecord record);
--- a/fulmarlink/gatewaycrashes.cpp
+++ b/fulmarlink/gatewaycrashes.cpp
@@ -69,7 +69,7 @@
     const TimePoint now = m_state.clock.now();
     const bool broken = end == AttemptEnd::Broken && !m_callerGone;
     const RunnerAttempts::Outcome brokenOutcome = m_connectionLost ? RunnerAttempts::Outcome::Lost : RunnerAttempts::Outcome::Broken;
-    m_state.attempts.recordEnd(m_attempt, broken ? brokenOutcome : RunnerAttempts::Outcome::Resolved, now);
+    const bool reported = m_state.attempts.recordEnd(m_attempt, broken ? brokenOutcome : RunnerAttempts::Outcome::Resolved, now);
     if (end == AttemptEnd::Answered || end == AttemptEnd::Failed) {
         m_state.crashes.requestCompleted(m_fingerprint, now);
     }
@@ -78,6 +78,9 @@
     }
     m_brokenAttempts.push_back(m_attempt);
     if (m_connectionLost) {
+        if (reported && m_events.events() == m_eventsBefore) {
+            m_state.crashWatch->suspectLost({target.id, target.born}, crashSuspect());
+        }
         const RunnerProbe probe = co_await m_state.crashWatch->probe(target);
         m_runnerEnded = probe != RunnerProbe::Accepts && m_events.events() == m_eventsBefore;
         if (probe == RunnerProbe::Accepts) {
--- a/fulmarlink/runnerattempts.cpp
+++ b/fulmarlink/runnerattempts.cpp
@@ -24,7 +24,7 @@
 {
     for (CrashSuspect &suspect : suspects) {
         suspect.unlikely = suspect.state == SuspectState::Survived;
-        suspect.answerStarted = suspect.answerStarted || suspect.state == SuspectState::GivenUp || suspect.state == SuspectState::Survived;
+        suspect.answerStarted = suspect.answerStarted || suspect.state != SuspectState::Lost;
     }
     return suspects;
 }
@@ -71,13 +71,14 @@
     }));
 }
 
-void RunnerAttempts::recordEnd(Token token, Outcome outcome, TimePoint now)
+bool RunnerAttempts::recordEnd(Token token, Outcome outcome, TimePoint now)
 {
     const auto it = m_attempts.find(token);
     if (it == m_attempts.end()) {
-        return;
+        return false;
     }
-    if (outcome == Outcome::Resolved || it->second.reported) {
+    const bool reported = it->second.reported;
+    if (outcome == Outcome::Resolved || reported) {
         m_attempts.erase(it);
     } else {
         it->second.inProgress = false;
@@ -85,6 +86,7 @@
         it->second.endedAt = now;
     }
     removeExpired(now);
+    return reported;
 }
 
 void RunnerAttempts::removeExpired(TimePoint now)
--- a/fulmarlink/runnerattempts.h
+++ b/fulmarlink/runnerattempts.h
@@ -12,7 +12,8 @@
 {
 
 /**
- * Returns the suspects as a crash record has them. A runner may not have begun a given-up attempt, so that one counts towards a ban only.
+ * Returns the suspects as a crash record has them. Only a lost attempt without an event shows that the answer had not started: a runner may not
+ * have begun a given-up one, and events of one in progress may not have been read yet.
  */
 std::vector<CrashSuspect> crashEvidence(std::vector<CrashSuspect> suspects);
 
@@ -44,7 +45,8 @@
     void markAnswering(Token token);
     /** Call when the runner answers any attempt. */
     void recordAnswer(const TargetIncarnation &incarnation);
-    void recordEnd(Token token, Outcome outcome, TimePoint now);
+    /** Returns true if takeSuspects() has returned the attempt while it was in progress. */
+    bool recordEnd(Token token, Outcome outcome, TimePoint now);
     /** The runner accepts new connections after it has lost that of the attempt, which counts as given up from now on. */
     void markAccepting(Token token);
     /** Number of these attempts that have been lost or given up, and of which it is not known yet whether their runner ended. */
--- a/testing/runnerattempts_test.cpp
+++ b/testing/runnerattempts_test.cpp
@@ -124,18 +124,21 @@
     EXPECT_EQ(attempts.unresolved(tokens, at(6s)), 0U);
 }
 
-// Guards against a request held back because its host had given it up at one of two runners before they ended.
-TEST(RunnerAttempts, GivenUpAttemptDoesNotShowThatTheAnswerHadNotStarted)
+// Guards against a request held back because events that its runner had sent were still unread when the runner was found to have ended.
+TEST(RunnerAttempts, OnlyALostAttemptWithoutAnEventShowsThatTheAnswerHadNotStarted)
 {
     RunnerAttempts attempts;
     const auto lost = attempts.add(kIncarnation, suspect(1));
     const auto given = attempts.add(kIncarnation, suspect(2));
+    const auto open = attempts.add(kIncarnation, suspect(3));
     attempts.recordEnd(lost, Outcome::Lost, at(0ms));
     attempts.recordEnd(given, Outcome::Broken, at(0ms));
     const std::vector<CrashSuspect> evidence = crashEvidence(attempts.takeSuspects(kIncarnation, at(1ms)));
-    ASSERT_EQ(evidence.size(), 2U);
+    ASSERT_EQ(evidence.size(), 3U);
     EXPECT_FALSE(evidence[0].answerStarted);
     EXPECT_TRUE(evidence[1].answerStarted);
+    EXPECT_TRUE(evidence[2].answerStarted);
+    EXPECT_TRUE(attempts.recordEnd(open, Outcome::Lost, at(2ms))) << "the caller adds what became of it";
 }
 
 } // namespace fulmarlink::testing
