Crash history: runners that end at the same time explain one crash of a stream

A crash after the answer had started does not count towards a ban if another runner ended within 0.3 s without the request. Two requests that crash runners at once don't excuse each other: an end of which a suspect has another crash besides explains nothing, unless three runners ended at once. One crash of a request can be explained. Judged from all records each time, by their times and not by the time of reading. Crashes before the answer are never explained.

--- /dev/null
+++ b/bench/crashwaves_bench.cpp
@@ -0,0 +1,77 @@
+// Prints, for runners that end in waves and under requests that crash them, how many streams are
+// refused that crash no runner, and how many runners a crashing request gets.
+//   build/crashwaves_bench [PLAYS]
+
+#include <algorithm>
+#include <iomanip>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "testing/harness/crashsimulation.h"
+
+namespace
+{
+
+using namespace fulmarlink;
+using namespace fulmarlink::testing;
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t kDefaultPlays = 100;
+
+struct Row {
+    const char *name;
+    CrashSimulationOptions options;
+};
+
+const std::vector<Row> kRows{
+    {"waves each 1.5 s", {}},
+    {"waves each 1.5 s, callers repeat 4 times", {.callerRepeats = 4}},
+    {"waves each 0.4 s", {.waveInterval = 400ms}},
+    {"waves of 8 of 16", {.runners = 16, .waveSize = 8}},
+    {"3 attempts, waves of 2 of 8 each 0.25 s, no repeats",
+     {.runners = 8, .maxAttempts = 3, .callerRepeats = 0, .waveInterval = 250ms, .waveSize = 2, .restartDelay = 350ms}},
+    {"1 early crasher", {.crashingRequests = 1, .waveInterval = 0ms}},
+    {"2 early crashers, waves each 1.5 s", {.crashingRequests = 2}},
+    {"2 early crashers, waves each 0.4 s", {.crashingRequests = 2, .waveInterval = 400ms}},
+    {"2 early crashers, slow runners", {.crashingRequests = 2, .slowShare = 0.3}},
+    {"2 early crashers, slow runners that keep requests", {.crashingRequests = 2, .slowShare = 0.3, .slowRunnersKeepRequests = true}},
+    {"1 late crasher", {.crashingRequests = 1, .crashLate = true, .waveInterval = 0ms}},
+    {"1 late crasher, waves each 1.5 s", {.crashingRequests = 1, .crashLate = true}},
+    {"2 late crashers", {.crashingRequests = 2, .crashLate = true, .waveInterval = 0ms}},
+    {"2 late crashers, waves each 1.5 s", {.crashingRequests = 2, .crashLate = true}},
+};
+
+void print(const Row &row, std::uint64_t plays)
+{
+    CrashSimulationResult sum;
+    unsigned mostCrashed = 0;
+    double crashed = 0;
+    CrashSimulationOptions options = row.options;
+    for (options.seed = 1; options.seed <= plays; ++options.seed) {
+        const CrashSimulationResult result = CrashSimulation(options).run();
+        sum.answered += result.answered;
+        sum.cut += result.cut;
+        sum.heldBack += result.heldBack;
+        sum.banned += result.banned;
+        for (const unsigned runners : result.runnersCrashed) {
+            mostCrashed = std::max(mostCrashed, runners);
+            crashed += runners;
+        }
+    }
+    const auto crashers = static_cast<double>(plays * std::max(1U, options.crashingRequests));
+    std::cout << std::left << std::setw(56) << row.name << std::right << std::setw(9) << sum.answered << std::setw(8) << sum.cut << std::setw(6) << sum.heldBack
+              << std::setw(8) << sum.banned << std::setw(8) << std::fixed << std::setprecision(2) << crashed / crashers << std::setw(6) << mostCrashed << '\n';
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const std::uint64_t plays = argc > 1 ? std::stoull(argv[1]) : kDefaultPlays;
+    std::cout << std::left << std::setw(56) << "streams answered, cut, held back, banned; runners a crasher: mean, most" << '\n';
+    for (const Row &row : kRows) {
+        print(row, plays);
+    }
+    return 0;
+}
--- a/fulmarlink/crashhistory.cpp
+++ b/fulmarlink/crashhistory.cpp
@@ -1,6 +1,6 @@
 // m_records is a set of records that never change; they are removed when they expire or are
 // evicted. m_requests is an index over them, together with what completions on this host
-// have cleared; it can be rebuilt at any time.
+// have cleared, and m_ends is an index by runner; both can be rebuilt at any time.
 //
 // Invariants: an incarnation counts once for a request; a cleared incarnation never counts
 // again; records that hold a request back outlive those that don't.
@@ -95,6 +95,9 @@
             const auto [it, added] = request.crashes.try_emplace(counted, Crash{receivedAt});
             it->second.answerStarted = it->second.answerStarted && suspect.answerStarted;
             it->second.unlikely = it->second.unlikely && suspect.unlikely;
+            End &end = m_ends[counted];
+            end.detectedAt = std::min(end.detectedAt, record.writtenAt);
+            end.suspects.insert(suspect.fingerprint);
         }
     }
 }
@@ -119,7 +122,7 @@
     }
     result.trials = request.trials;
     if (result.crashes >= m_policy.maxCrashes) {
-        result.explained = explainedCrashes(request);
+        result.explained = explainedCrashes(fingerprint, request);
     }
     if (result.crashes - result.explained >= m_policy.maxCrashes && !mutated(Mutation::NeverBan)) {
         result.verdict = CrashVerdict::Banned;
@@ -136,15 +139,44 @@
     return result;
 }
 
-unsigned CrashHistory::explainedCrashes(const Request &request) const
+unsigned CrashHistory::explainedCrashes(const RequestFingerprint &fingerprint, const Request &request) const
 {
     const auto explained = std::ranges::count_if(request.crashes, [&](const auto &crash) {
         const bool counts = !crash.second.answerStarted || request.cleared.contains(crash.first);
-        return !counts && crash.second.unlikely;
+        return !counts && (crash.second.unlikely || isExplained(fingerprint, crash.first));
     });
     return std::min(static_cast<unsigned>(explained), m_policy.maxExplainedCrashes);
 }
 
+/**
+ * Whether other runners ended at the same time as @p incarnation without the request. One such end suffices, unless it may have a cause of its
+ * own: a suspect that has crashed another runner too.
+ */
+bool CrashHistory::isExplained(const RequestFingerprint &fingerprint, const TargetIncarnation &incarnation) const
+{
+    const End &end = m_ends.at(incarnation);
+    unsigned simultaneousEnds = 0;
+    for (const auto &[other, otherEnd] : m_ends) {
+        const bool simultaneous = std::chrono::abs(otherEnd.detectedAt - end.detectedAt) <= m_policy.waveWindow;
+        if (!simultaneous || otherEnd.suspects.contains(fingerprint)) {
+            continue;
+        }
+        ++simultaneousEnds;
+        if (simultaneousEnds >= m_policy.waveSize || !hasRepeatedSuspect(otherEnd)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/** Whether a suspect of the end has another crash besides, so that it may have caused both. */
+bool CrashHistory::hasRepeatedSuspect(const End &end) const
+{
+    return std::ranges::any_of(end.suspects, [this](const RequestFingerprint &suspect) {
+        return unclearedCrashes(m_requests.at(suspect)) > 1;
+    });
+}
+
 void CrashHistory::requestCompleted(const RequestFingerprint &fingerprint, TimePoint now)
 {
     m_completions[fingerprint] = now;
@@ -256,6 +288,7 @@
 void CrashHistory::rebuildIndex()
 {
     std::map<RequestFingerprint, Request> before = std::exchange(m_requests, {});
+    m_ends.clear();
     for (const auto &[name, stored] : m_records) {
         index(stored.record, stored.receivedAt);
     }
--- a/fulmarlink/crashhistory.h
+++ b/fulmarlink/crashhistory.h
@@ -28,7 +28,7 @@
 struct CrashStatus {
     CrashVerdict verdict = CrashVerdict::Clear;
     unsigned crashes = 0; ///< runner incarnations that ended with it in progress and of which it is not cleared
-    unsigned explained = 0; ///< those of them that do not count towards a ban: they have another explanation
+    unsigned explained = 0; ///< those of them that do not count towards a ban, because other runners ended at the same time
     unsigned trials = 0; ///< claimed so far, on all hosts
     Duration retryAfter{0}; ///< for HeldBack and Banned
 };
@@ -52,11 +52,13 @@
  * crashes runners never completes.
  *
  * A request that had begun to be answered at a runner does not count towards a ban for that
- * runner if its host had given it up there before the runner answered others. That holds for a
- * limited number of runners.
+ * runner if another one ended at the same time without it, or if its host had given it up
+ * there before the runner answered others. That holds for a limited number of runners.
  *
- * Contract: records of the same incarnation count once, whichever hosts wrote them. No
- * I/O; not thread-safe; status() is O(log n) in the number of requests.
+ * Contract: records of the same incarnation count once, whichever hosts wrote them; verdicts
+ * don't depend on the order of records. No I/O; not thread-safe; status() is O(log n) in the
+ * number of requests, and O(n) in the number of records for a request with CrashPolicy::maxCrashes
+ * crashes.
  */
 class CrashHistory
 {
@@ -103,6 +105,12 @@
         TimePoint lastTrialAt{};
     };
 
+    /** The end of one incarnation, from all records of it. */
+    struct End {
+        std::chrono::milliseconds detectedAt = std::chrono::milliseconds::max(); ///< Unix time of the earliest record
+        std::set<RequestFingerprint> suspects;
+    };
+
     struct Stored {
         CrashRecord record;
         TimePoint receivedAt{};
@@ -114,12 +122,15 @@
     void rebuildIndex();
     void evictRecords();
     bool holdsBack(const CrashRecord &record) const;
-    unsigned explainedCrashes(const Request &request) const;
+    unsigned explainedCrashes(const RequestFingerprint &fingerprint, const Request &request) const;
+    bool isExplained(const RequestFingerprint &fingerprint, const TargetIncarnation &incarnation) const;
+    bool hasRepeatedSuspect(const End &end) const;
     static unsigned unclearedCrashes(const Request &request);
 
     const CrashPolicy m_policy;
     std::map<std::string, Stored> m_records; ///< by name
     std::map<RequestFingerprint, Request> m_requests;
+    std::map<TargetIncarnation, End> m_ends;
     std::map<RequestFingerprint, TimePoint> m_completions;
     std::deque<std::pair<TimePoint, RequestFingerprint>> m_completionOrder; ///< oldest first; may also hold outdated times of a request
     std::vector<CrashRecord> m_clearances;
--- a/fulmarlink/crashpolicy.h
+++ b/fulmarlink/crashpolicy.h
@@ -23,6 +23,13 @@
      * repeated again and again gain by an earlier trial.
      */
     Duration holdTime = std::chrono::minutes(5);
+    /**
+     * Two runners that end within this time, by the clocks of the hosts that detect it, may have ended for one reason. Long enough for the probes
+     * of a runner that seems to have ended, short against the time in which a caller repeats a request.
+     */
+    std::chrono::milliseconds waveWindow{300};
+    /** Other runners that end within waveWindow and explain an end whatever was in progress there: hardly so many requests crash runners at once. */
+    unsigned waveSize = 3;
     /**
      * Crashes after the answer had started that may be explained without the request. Bounds the additional runners of a request that crashes them
      * late in its answer, or after its host has given it up.
--- a/testing/crashhistory_test.cpp
+++ b/testing/crashhistory_test.cpp
@@ -220,6 +220,53 @@
 
 } // namespace
 
+// Guards against a late crasher that gets a runner more for each wave of other ends.
+TEST(CrashHistory, OtherEndsExplainOneCrashOfARequestAtMost)
+{
+    CrashHistory history;
+    for (unsigned wave = 0; wave < 4; ++wave) {
+        EXPECT_NE(verdict(history, 1s * wave), CrashVerdict::Banned);
+        history.add(crashAt(1000ms * wave, 2 * wave, {suspect(1, true)}), at(1000ms * wave));
+        history.add(crashAt(1000ms * wave, 2 * wave + 1, {suspect(100 + wave, true)}), at(1000ms * wave));
+    }
+    EXPECT_EQ(verdict(history, 4s), CrashVerdict::Banned);
+    EXPECT_EQ(history.status(kCrashing, at(4s)).explained, 1U);
+}
+
+TEST(CrashHistory, OtherEndsExplainNoCrashBeforeTheAnswer)
+{
+    CrashHistory history;
+    for (unsigned wave = 0; wave < 2; ++wave) {
+        history.add(crashAt(1000ms * wave, 2 * wave, {suspect(1)}), at(1000ms * wave));
+        history.add(crashAt(1000ms * wave, 2 * wave + 1, {suspect(100 + wave)}), at(1000ms * wave));
+    }
+    EXPECT_EQ(verdict(history, 2s), CrashVerdict::HeldBack);
+}
+
+// Guards against two requests that crash runners at the same moments and excuse each other.
+TEST(CrashHistory, EndWithARepeatedSuspectExplainsNothing)
+{
+    CrashHistory history;
+    for (unsigned wave = 0; wave < 3; ++wave) {
+        history.add(crashAt(1000ms * wave, 2 * wave, {suspect(1, true)}), at(1000ms * wave));
+        history.add(crashAt(1000ms * wave, 2 * wave + 1, {suspect(2, true)}), at(1000ms * wave));
+    }
+    EXPECT_EQ(verdict(history, 3s), CrashVerdict::Banned);
+    EXPECT_EQ(verdict(history, 3s, suspect(2).fingerprint), CrashVerdict::Banned);
+}
+
+// More runners end at once than requests that crash them are likely to be in progress.
+TEST(CrashHistory, WaveOfThreeOtherEndsExplainsWhateverItsSuspects)
+{
+    CrashHistory history;
+    for (unsigned wave = 0; wave < 3; ++wave) {
+        for (unsigned runner = 0; runner < 4; ++runner) {
+            history.add(crashAt(1000ms * wave + 50ms * runner, 4 * wave + runner, {suspect(1 + runner, true)}), at(1000ms * wave));
+        }
+    }
+    EXPECT_EQ(verdict(history, 3s), CrashVerdict::Suspect);
+}
+
 // Guards against a request banned because it had been given up at runners that went on and ended later, and against one that gets a runner more
 // each time it is given up at a runner that begins it all the same.
 TEST(CrashHistory, OneCrashAfterTheRequestWasGivenUpIsExplained)
@@ -235,6 +282,27 @@
     EXPECT_EQ(verdict(history, 4s), CrashVerdict::Banned);
 }
 
+TEST(CrashHistory, EndsFarApartExplainNothing)
+{
+    CrashHistory history;
+    for (unsigned wave = 0; wave < 3; ++wave) {
+        history.add(crashAt(1000ms * wave, 2 * wave, {suspect(1, true)}), at(1000ms * wave));
+        history.add(crashAt(1000ms * wave + 400ms, 2 * wave + 1, {suspect(100 + wave, true)}), at(1000ms * wave));
+    }
+    EXPECT_EQ(verdict(history, 3s), CrashVerdict::Banned);
+}
+
+// Guards against verdicts by the time at which a record was read: a host that starts reads all of them at once.
+TEST(CrashHistory, HostThatReadsAllRecordsAtOnceJudgesLikeTheOthers)
+{
+    CrashHistory history;
+    for (unsigned end = 0; end < 3; ++end) {
+        history.add(crashAt(10'000ms * end, 2 * end, {suspect(1, true)}), at(0ms));
+        history.add(crashAt(10'000ms * end + 5000ms, 2 * end + 1, {suspect(100 + end, true)}), at(0ms));
+    }
+    EXPECT_EQ(verdict(history, 1ms), CrashVerdict::Banned);
+}
+
 // Records may arrive in any order and more than once.
 TEST(CrashHistory, VerdictsAreIndependentOfRecordOrder)
 {
--- /dev/null
+++ b/testing/crashwaves_test.cpp
@@ -0,0 +1,119 @@
+// Runners that end in waves, for reasons of their own, under many streams, and runners that end under
+// one or two requests that crash them, beside each other.
+//
+// Guards against both mistakes: a stream refused because its runners happened to end, which five hosts
+// did to 99 of 2,880 streams on a busy machine, and a request that gets more runners to crash because
+// their ends pass for a wave. The simulation knows why each runner ended.
+
+#include <cstdlib>
+#include <gtest/gtest.h>
+#include <string>
+
+#include "testing/harness/crashsimulation.h"
+
+namespace fulmarlink::testing
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr unsigned kMostCrashes = 3; ///< runners that one request may crash
+
+std::uint64_t plays()
+{
+    const char *text = std::getenv("FULMARLINK_CRASH_PLAYS"); // NOLINT(concurrency-mt-unsafe): tests have one thread here
+    return text == nullptr ? 20 : std::stoull(text);
+}
+
+/** Sums over plays with different seeds. */
+struct Totals {
+    unsigned answered = 0;
+    unsigned cut = 0;
+    unsigned heldBack = 0;
+    unsigned banned = 0;
+    unsigned mostOwnCrashes = 0;
+    unsigned mostCrashed = 0; ///< runners that one crashing request ended, at most
+    double meanCrashed = 0; ///< per crashing request
+};
+
+Totals play(CrashSimulationOptions options, std::uint64_t seeds)
+{
+    Totals totals;
+    double crashed = 0;
+    for (options.seed = 1; options.seed <= seeds; ++options.seed) {
+        const CrashSimulationResult result = CrashSimulation(options).run();
+        totals.answered += result.answered;
+        totals.cut += result.cut;
+        totals.heldBack += result.heldBack;
+        totals.banned += result.banned;
+        totals.mostOwnCrashes = std::max(totals.mostOwnCrashes, result.mostOwnCrashes);
+        for (const unsigned runners : result.runnersCrashed) {
+            totals.mostCrashed = std::max(totals.mostCrashed, runners);
+            crashed += runners;
+        }
+    }
+    totals.meanCrashed = crashed / static_cast<double>(std::max<std::uint64_t>(1, seeds * options.crashingRequests));
+    return totals;
+}
+
+struct Case {
+    const char *name;
+    CrashSimulationOptions options;
+};
+
+void PrintTo(const Case &value, std::ostream *out) // NOLINT(readability-identifier-naming): found by GoogleTest
+{
+    *out << value.name;
+}
+
+class CrashWaves : public ::testing::TestWithParam<Case>
+{
+};
+
+const auto kWaves
+    = ::testing::Values(Case{"ThreeOfTwelve", {}},
+                        Case{"ThreeAttempts", {.maxAttempts = 3}},
+                        Case{"FrequentWavesThreeAttempts", {.runners = 8, .maxAttempts = 3, .waveInterval = 250ms, .waveSize = 2, .restartDelay = 350ms}},
+                        Case{"WavesEvery100Ms", {.runners = 8, .maxAttempts = 3, .waveInterval = 100ms, .waveSize = 3, .restartDelay = 350ms}},
+                        Case{"HalfOfAll", {.runners = 16, .waveSize = 8}},
+                        Case{"ManySlowAttempts", {.slowShare = 0.3}},
+                        Case{"CallersRepeatFourTimes", {.callerRepeats = 4}},
+                        Case{"StoreAway", {.storeAway = true}});
+
+std::string caseName(const ::testing::TestParamInfo<Case> &info)
+{
+    return info.param.name;
+}
+
+} // namespace
+
+// Guards against ends that only the product's own sends brought about: a stream that its caller sends once is refused nowhere.
+TEST_P(CrashWaves, StreamSentOnceByItsCallerIsNeverRefused)
+{
+    CrashSimulationOptions options = GetParam().options;
+    options.callerRepeats = 0;
+    const Totals totals = play(options, plays());
+    EXPECT_GT(totals.answered, 0U);
+    EXPECT_EQ(totals.heldBack, 0U);
+    EXPECT_EQ(totals.banned, 0U);
+    EXPECT_LE(totals.mostOwnCrashes, 2U) << "the product resends under no more ends than a caller may meet by chance";
+}
+
+// Guards against a request that crashes runners as it begins and gets more of them because others end at the same time.
+TEST_P(CrashWaves, RequestThatCrashesRunnersAsItBeginsGetsNoMoreOfThemBesideWaves)
+{
+    if (GetParam().options.storeAway) {
+        GTEST_SKIP() << "each host then counts for itself: the next test";
+    }
+    for (const unsigned crashing : {1U, 2U}) {
+        CrashSimulationOptions options = GetParam().options;
+        options.crashingRequests = crashing;
+        EXPECT_LE(play(options, plays()).mostCrashed, kMostCrashes);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Simulation, CrashWaves, kWaves, caseName);
+
+} // namespace fulmarlink::testing
