Backoffs of a host outlive its process

Runners that had asked a host to back off for 3 s got 2 to 4 requests each from it after it had been killed and started again 1 s later; callers got refusals from them. A backoff was kept in the memory of the process, but a runner counts by host.

Each host now keeps its backoffs in one object of the store and reads it before it accepts requests. A request that is refused because runners asked to back off gets its answer when they are stored, 0.1 s later at most. The object is of a kind of its own: in that of the crash records each write would wake every host's long poll. Ruled out: accepting nothing for the longest usual backoff after each start.

--- a/fulmarlink/gateway.cpp
+++ b/fulmarlink/gateway.cpp
@@ -67,6 +67,7 @@
     , m_crashWatch(context, m_state, *m_adapters.platform)
     , m_limitWatch(context, m_state, *m_adapters.platform)
     , m_signalWatch(m_state)
+    , m_backoffRecorder(context, m_state, *m_adapters.platform)
     , m_server(context.get_executor(), m_state)
     , m_configVersion(m_counters.registerCounter("fulmarlink_rules_version"))
     , m_proofAge(m_counters.registerCounter("fulmarlink_configuration_proof_age_ms"))
@@ -77,6 +78,7 @@
     m_state.crashWatch = &m_crashWatch;
     m_state.limitWatch = &m_limitWatch;
     m_state.signalWatch = &m_signalWatch;
+    m_state.backoffRecorder = &m_backoffRecorder;
     m_adapters.platform->setAnswerObserver(&m_signalWatch);
 }
 
@@ -84,7 +86,8 @@
 
 bool Gateway::ready() const
 {
-    return !m_state.drainStartedAt && m_targetsKnown && m_state.crashRecordsLoaded && m_state.config.active() && !m_state.proofIsStale(m_clock.now());
+    return !m_state.drainStartedAt && m_targetsKnown && m_state.crashRecordsLoaded && m_state.backoffsRestored && m_state.config.active()
+           && !m_state.proofIsStale(m_clock.now());
 }
 
 void Gateway::startHttp()
@@ -113,6 +116,7 @@
     spawnSupervised("crash-records", &Gateway::crashRecordsLoop);
     spawnSupervised("crash-publishing", &Gateway::crashPublishingLoop);
     spawnSupervised("limit-publishing", &Gateway::limitPublishingLoop);
+    spawnSupervised("backoff-recording", &Gateway::backoffRecordingLoop);
     logChange("started",
               {{"host", m_state.settings.host},
                {"zone", m_state.settings.zone},
@@ -140,6 +144,11 @@
     return m_limitWatch.publish();
 }
 
+asio::awaitable<void> Gateway::backoffRecordingLoop()
+{
+    return m_backoffRecorder.run();
+}
+
 void Gateway::startDrain()
 {
     m_state.drainStartedAt = m_clock.now();
--- a/fulmarlink/gateway.h
+++ b/fulmarlink/gateway.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "fulmarlink/backoffrecorder.h"
 #include "fulmarlink/counters.h"
 #include "fulmarlink/crashwatch.h"
 #include "fulmarlink/gatewayserver.h"
@@ -65,6 +66,7 @@
     boost::asio::awaitable<void> crashRecordsLoop();
     boost::asio::awaitable<void> crashPublishingLoop();
     boost::asio::awaitable<void> limitPublishingLoop();
+    boost::asio::awaitable<void> backoffRecordingLoop();
     void spawnSupervised(std::string name, boost::asio::awaitable<void> (Gateway::*loop)());
     boost::asio::awaitable<void> sleep(Duration duration);
     /** Divides each service's connection limit among the live hosts. */
@@ -86,6 +88,7 @@
     CrashWatch m_crashWatch;
     LimitWatch m_limitWatch;
     SignalWatch m_signalWatch;
+    BackoffRecorder m_backoffRecorder;
     GatewayServer m_server;
     std::shared_ptr<HttpServer> m_readiness;
     std::shared_ptr<HttpServer> m_metrics;
--- a/fulmarlink/gatewayanswer.cpp
+++ b/fulmarlink/gatewayanswer.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "fulmarlink/admission.h"
+#include "fulmarlink/backoffrecorder.h"
 #include "fulmarlink/gatewayexchange.h"
 #include "fulmarlink/log.h"
 
@@ -20,6 +21,7 @@
 {
 
 constexpr Duration kRefusedRetryAfter = std::chrono::milliseconds(400);
+constexpr Duration kMaxRecordingTime = std::chrono::milliseconds(100); ///< a write takes a few ms; callers don't wait for a slow store
 
 } // namespace
 
@@ -44,6 +46,9 @@
     case NextStep::Again:
         break;
     case NextStep::RefuseNotRun:
+        if (m_askedToBackOff) {
+            co_await m_state.backoffRecorder->awaitRecorded(kMaxRecordingTime);
+        }
         if (m_heldBack) {
             m_result = ResultCode::RequestEndsRunners;
             co_await writeLocalReply(m_result, m_retryAfter);
--- a/fulmarlink/gatewayexchange.cpp
+++ b/fulmarlink/gatewayexchange.cpp
@@ -143,7 +143,7 @@
         return refuse(ResultCode::ShuttingDown, kDrainRetryAfter);
     }
     m_active = m_state.config.active();
-    if (!m_active || !m_state.crashRecordsLoaded) {
+    if (!m_active || !m_state.crashRecordsLoaded || !m_state.backoffsRestored) {
         return refuse(ResultCode::NoConfiguration, kUnprovedRetryAfter);
     }
     m_route = m_active->rules->route(m_info);
--- a/fulmarlink/gatewayexchange.h
+++ b/fulmarlink/gatewayexchange.h
@@ -130,6 +130,7 @@
     RunnerAttempts::Token m_attempt = 0; ///< of the last attempt
     TimePoint m_attemptSent{}; ///< send time of the last attempt
     std::optional<Duration> m_backoff; ///< requested by the runner of the last attempt
+    bool m_askedToBackOff = false; ///< by the runner of any attempt
     std::optional<TargetLoad> m_reportedLoad; ///< reported by the runner of the last attempt
     std::uint64_t m_eventsBefore = 0; ///< stream events received from earlier attempts
     unsigned m_status = 0; ///< HTTP status sent to the caller; 0 if none was sent
--- a/fulmarlink/gatewayrelay.cpp
+++ b/fulmarlink/gatewayrelay.cpp
@@ -161,6 +161,7 @@
         }
         const TimePoint now = m_state.clock.now();
         m_backoff = answer.backoff;
+        m_askedToBackOff = m_askedToBackOff || answer.backoff;
         m_reportedLoad = answer.load;
         m_state.limitWatch->handleAnswer(target, answer, m_attemptSent, m_callerRequest.attemptId);
         if (answer.load) {
--- a/fulmarlink/gatewaystate.h
+++ b/fulmarlink/gatewaystate.h
@@ -25,6 +25,7 @@
 namespace fulmarlink
 {
 
+class BackoffRecorder;
 class CallerProtocol;
 class CrashWatch;
 class LimitWatch;
@@ -85,8 +86,10 @@
     CrashWatch *crashWatch = nullptr;
     RunnerSignals signals; ///< limits and backoffs reported by runners
     SignalWatch *signalWatch = nullptr;
+    BackoffRecorder *backoffRecorder = nullptr;
     LimitWatch *limitWatch = nullptr;
     bool crashRecordsLoaded = false; ///< the crash records of other hosts have been read; no request is accepted before
+    bool backoffsRestored = false; ///< the backoffs of this host's previous process have been read; no request is accepted before
     std::map<std::string, PoolState> pools;
     const TimePoint startedAt; ///< start of this process
     Random random;
--- a/fulmarlink/guardedplatform.cpp
+++ b/fulmarlink/guardedplatform.cpp
@@ -119,6 +119,16 @@
     return guarded(m_platform->removeLimitRecord(std::move(incarnation)), "remove-limit-record");
 }
 
+asio::awaitable<BackoffsRead> GuardedPlatform::readBackoffs(std::string host)
+{
+    return guarded(m_platform->readBackoffs(std::move(host)), "read-backoffs");
+}
+
+asio::awaitable<std::error_code> GuardedPlatform::writeBackoffs(std::string host, std::vector<BackoffRecord> backoffs)
+{
+    return guarded(m_platform->writeBackoffs(std::move(host), std::move(backoffs)), "write-backoffs");
+}
+
 void GuardedPlatform::setAnswerObserver(RunnerAnswerObserver *observer)
 {
     m_platform->setAnswerObserver(observer);
--- a/fulmarlink/platform.h
+++ b/fulmarlink/platform.h
@@ -7,6 +7,7 @@
 #include <system_error>
 #include <vector>
 
+#include "fulmarlink/backoffrecord.h"
 #include "fulmarlink/clock.h"
 #include "fulmarlink/configuration.h"
 #include "fulmarlink/crashrecord.h"
@@ -62,6 +63,11 @@
     std::vector<TargetIncarnation> removedLimits; ///< incarnations whose limit record has been removed
 };
 
+struct BackoffsRead {
+    std::error_code error; ///< ObjectNotFound: the host has never written any
+    std::vector<BackoffRecord> backoffs; ///< without those that could not be parsed
+};
+
 /**
  * Interface to the platform on which the product runs. Implementations only translate
  * calls; they make no decisions and keep no state except connections and the last read results.
@@ -101,6 +107,11 @@
     virtual boost::asio::awaitable<std::error_code> writeLimitRecord(LimitRecord record) = 0;
     virtual boost::asio::awaitable<std::error_code> removeLimitRecord(TargetIncarnation incarnation) = 0;
 
+    /** The backoffs that @p host has written last. Linearizable. */
+    virtual boost::asio::awaitable<BackoffsRead> readBackoffs(std::string host) = 0;
+    /** Replaces all backoffs of @p host. */
+    virtual boost::asio::awaitable<std::error_code> writeBackoffs(std::string host, std::vector<BackoffRecord> backoffs) = 0;
+
     /** @p observer is notified of the head of each runner's answer to the calls below. It outlives this object; null removes it. */
     virtual void setAnswerObserver(RunnerAnswerObserver *observer) = 0;
     virtual boost::asio::awaitable<RankReportRead> readRankReport(TargetInfo target) = 0;
--- a/fulmarlink/runnersignals.cpp
+++ b/fulmarlink/runnersignals.cpp
@@ -137,6 +137,17 @@
     }));
 }
 
+std::map<TargetIncarnation, TimePoint> RunnerSignals::backoffs(TimePoint now) const
+{
+    std::map<TargetIncarnation, TimePoint> result;
+    for (const auto &[incarnation, signal] : m_signals) {
+        if (signal.backoff.isBackingOff(now)) {
+            result.emplace(incarnation, signal.backoff.until());
+        }
+    }
+    return result;
+}
+
 std::map<TargetIncarnation, BackoffRequest> RunnerSignals::takeExpiredBackoffs(TimePoint now)
 {
     std::map<TargetIncarnation, BackoffRequest> result;
--- a/fulmarlink/runnersignals.h
+++ b/fulmarlink/runnersignals.h
@@ -41,7 +41,7 @@
  * State is kept per incarnation, so that a restarted runner begins with none.
  *
  * Contract: no I/O, and time is passed in; not thread-safe; O(log n) in the incarnations tracked,
- * except for backingOffCount(), takeExpiredBackoffs() and incarnations(), which visit all of them.
+ * except for backingOffCount(), backoffs(), takeExpiredBackoffs() and incarnations(), which visit all of them.
  */
 class RunnerSignals
 {
@@ -69,6 +69,8 @@
     /** Null if the runner has not asked for a backoff, or takeExpiredBackoffs() has returned it. */
     const BackoffRequest *activeBackoff(const TargetIncarnation &incarnation) const;
     std::size_t backingOffCount(TimePoint now) const;
+    /** Ends of the backoffs that have not expired. */
+    std::map<TargetIncarnation, TimePoint> backoffs(TimePoint now) const;
     /** Returns each backoff once, when it has expired by @p now, and drops entries that have no state left. */
     std::map<TargetIncarnation, BackoffRequest> takeExpiredBackoffs(TimePoint now);
     std::vector<TargetIncarnation> incarnations() const;
--- a/fulmarlink/signalwatch.cpp
+++ b/fulmarlink/signalwatch.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "fulmarlink/backoffrecorder.h"
 #include "fulmarlink/callerprotocol.h"
 #include "fulmarlink/log.h"
 #include "fulmarlink/targetconnections.h"
@@ -69,6 +70,7 @@
     if (!extended) {
         return;
     }
+    m_state.backoffRecorder->backoffExtended();
     logChange("runner-backoff",
               {{"target", incarnation.id},
                {"born", std::to_string(incarnation.born)},
--- a/testing/faultisolation_test.cpp
+++ b/testing/faultisolation_test.cpp
@@ -135,6 +135,16 @@
         return m_delegate->removeLimitRecord(std::move(incarnation));
     }
 
+    asio::awaitable<BackoffsRead> readBackoffs(std::string host) override
+    {
+        return m_delegate->readBackoffs(std::move(host));
+    }
+
+    asio::awaitable<std::error_code> writeBackoffs(std::string host, std::vector<BackoffRecord> backoffs) override
+    {
+        return m_delegate->writeBackoffs(std::move(host), std::move(backoffs));
+    }
+
     void setAnswerObserver(RunnerAnswerObserver *observer) override
     {
         m_delegate->setAnswerObserver(observer);
--- a/testing/harness/fakegroup.cpp
+++ b/testing/harness/fakegroup.cpp
@@ -177,6 +177,16 @@
     co_return std::error_code();
 }
 
+asio::awaitable<BackoffsRead> FakeGroup::readBackoffs(std::string /*host*/)
+{
+    co_return BackoffsRead{};
+}
+
+asio::awaitable<std::error_code> FakeGroup::writeBackoffs(std::string /*host*/, std::vector<BackoffRecord> /*backoffs*/)
+{
+    co_return std::error_code();
+}
+
 asio::awaitable<EntriesRead> FakeGroup::readEntries()
 {
     co_return EntriesRead();
--- a/testing/platformcodec_test.cpp
+++ b/testing/platformcodec_test.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include "fulmarlink/resultcode.h"
+#include "platform/backoffcodec.h"
 #include "platform/configurationdecoder.h"
 #include "platform/jsonreader.h"
 #include "platform/platformprotocol.h"
@@ -145,6 +146,32 @@
     EXPECT_EQ(answer.keepAlive->count(), 5);
 }
 
+TEST(PlatformCodec, BackoffsAreReadAsWritten)
+{
+    const std::vector<BackoffRecord> written{{{"i-1", 7}, std::chrono::milliseconds(1'800'000'003'000), std::chrono::milliseconds(3000)},
+                                             {{"i-2", 0}, std::chrono::milliseconds(1'800'000'001'000), std::chrono::milliseconds(1000)}};
+    std::string problem;
+    const std::vector<BackoffRecord> read = decodeBackoffs(json::parse(json::serialize(encodeBackoffs(written))), problem);
+    EXPECT_EQ(problem, "");
+    ASSERT_EQ(read.size(), 2U);
+    EXPECT_EQ(read[0].incarnation, written[0].incarnation);
+    EXPECT_EQ(read[0].until, written[0].until);
+    EXPECT_EQ(read[1].remaining, written[1].remaining);
+}
+
+// Guards against one malformed entry, for example of a later version, that makes a host forget its other backoffs.
+TEST(PlatformCodec, MalformedBackoffsAreLeftOut)
+{
+    std::string problem;
+    const auto read = decodeBackoffs(json::parse(R"({"backoffs":[{"target":7},{"target":"","until_ms":5,"remaining_ms":5},
+{"target":"i-1","born":7,"until_ms":1e300,"remaining_ms":1},{"target":"i-2","born":7,"until_ms":1800000003000,"remaining_ms":3000}]})"),
+                                     problem);
+    EXPECT_NE(problem, "");
+    ASSERT_EQ(read.size(), 1U);
+    EXPECT_EQ(read.front().incarnation.id, "i-2");
+    EXPECT_TRUE(decodeBackoffs(json::parse("[7]"), problem).empty());
+}
+
 TEST(PlatformCodec, RequestLimitIsASingleDecimalNumber)
 {
     const PlatformProtocol protocol;
--- a/testing/runnerbackoff_test.cpp
+++ b/testing/runnerbackoff_test.cpp
@@ -139,6 +139,39 @@
     }
 }
 
+// Guards against a record that keeps a host off a runner after the backoff has expired, or off its next incarnation.
+TEST(RunnersBackoff, RestartedHostUsesARunnerWhoseBackoffHasExpired)
+{
+    GatewayFleet fleet({.gateways = 1, .runners = 1});
+    ASSERT_TRUE(fleet.start());
+    fleet.setRefusals(0, 1, "1");
+    ASSERT_EQ(fleet.ask(0, fleet.request("/once/x")).status, 503U);
+    fleet.setRefusals(0, 0, "");
+    fleet.killGateway(0);
+    fleet.runFor(1100ms);
+    ASSERT_TRUE(fleet.start());
+    EXPECT_EQ(fleet.ask(0, fleet.request("/once/x")).status, 200U);
+}
+
+// Guards against a host that starts while the store is away, knows nothing of its backoffs and accepts requests.
+TEST(RunnersBackoff, RestartedHostAcceptsNothingBeforeItHasReadItsBackoffs)
+{
+    GatewayFleet fleet({.gateways = 1, .runners = 1});
+    ASSERT_TRUE(fleet.start());
+    fleet.setRefusals(0, 1, "5");
+    ASSERT_EQ(fleet.ask(0, fleet.request("/once/x")).status, 503U);
+    fleet.setRefusals(0, 0, "");
+    fleet.killGateway(0);
+    fleet.store.faults.refusalStatus = 503;
+    fleet.startGateway(0);
+    fleet.runFor(500ms);
+    EXPECT_FALSE(fleet.ready(0));
+    fleet.store.faults = {};
+    ASSERT_TRUE(fleet.start());
+    EXPECT_EQ(fleet.ask(0, fleet.request("/once/x")).status, 503U);
+    EXPECT_EQ(unwantedRequests(fleet.requestsAt(0)), 0U);
+}
+
 TEST(RunnersBackoff, CallersAreRefusedAtOnceWhileAllRunnersBackOff)
 {
     constexpr unsigned kRunners = 3;
