A caller that leaves in mid-answer is counted as gone

BadInput.HalfRequestsAndCallersThatLeave failed now and then under address: operators read of answers cut short where callers had left. RequestMachine ended every answer that had begun with answer-cut-short, whatever ended it. The test's caller leaves as it has sent its request; only where the process stands still for a while does the first part of the answer come first.

--- a/fulmarlink/requestmachine.cpp
+++ b/fulmarlink/requestmachine.cpp
@@ -93,12 +93,14 @@
     }
 };
 
+/** Ends an answer that has begun. A caller that has left did not get a short answer. */
 struct CutShort {
     template<class Event, class Fsm, class Source, class Target>
-    void operator()(const Event & /*event*/, Fsm &fsm, Source & /*source*/, Target & /*target*/) const
+    void operator()(const Event &event, Fsm &fsm, Source & /*source*/, Target & /*target*/) const
     {
         fsm.step = RequestStep::Finish;
-        fsm.code = mutated(Mutation::CutIsWhole) ? ResultCode::Ok : ResultCode::AnswerCutShort;
+        fsm.code = event.code == ResultCode::CallerGone ? ResultCode::CallerGone : ResultCode::AnswerCutShort;
+        fsm.code = mutated(Mutation::CutIsWhole) ? ResultCode::Ok : fsm.code;
     }
 };
 
