--- a/fulmarlink/crashhistory.h
+++ b/fulmarlink/crashhistory.h
@@ -28,7 +28,7 @@
 struct CrashStatus {
     CrashVerdict verdict = CrashVerdict::Clear;
     unsigned crashes = 0; ///< runner incarnations that ended with it in progress and of which it is not cleared
-    unsigned explained = 0; ///< those of them that do not count towards a ban, because other runners ended at the same time
+    unsigned explained = 0; ///< those of them that do not count towards a ban; 0 below CrashPolicy::maxCrashes crashes
     unsigned trials = 0; ///< claimed so far, on all hosts
     Duration retryAfter{0}; ///< for HeldBack and Banned
 };
--- a/fulmarlink/crashwatch.cpp
+++ b/fulmarlink/crashwatch.cpp
@@ -190,6 +190,7 @@
                     {"route", suspect.route},
                     {"verdict", crashVerdictName(status.verdict)},
                     {"crashes", std::to_string(status.crashes)},
+                    {"explained", std::to_string(status.explained)},
                     {"trials", std::to_string(status.trials)},
                     {"lives", textOf(record.incarnations)},
                     {"told_by", record.host}});
@@ -260,8 +261,8 @@
 void CrashWatch::restarted(const std::string &targetId, std::uint64_t born)
 {
     for (const TargetIncarnation &incarnation : m_state.attempts.incarnationsOf(targetId, m_state.clock.now())) {
-        const bool handled = m_ended.contains(incarnation); // then these attempts were sent after its end
-        if (incarnation.born != born && !handled) {
+        const bool sentAfterEnd = m_ended.contains(incarnation); // handleEnded() has taken all earlier attempts
+        if (incarnation.born != born && !sentAfterEnd) {
             handleEnded(incarnation, "started-again");
         }
     }
