Tests follow the read of backoffs at the start of a host

GatewayServerTest sets up a host that has read its records: the backoffs are one more of them. The test of a host that starts while the store is away started its gateway twice, which address found (use of a destroyed context).

--- a/testing/gatewayserver_test.cpp
+++ b/testing/gatewayserver_test.cpp
@@ -37,6 +37,7 @@
         state->config.offer(std::move(configuration));
         state->config.confirm(clock.now());
         state->crashRecordsLoaded = true;
+        state->backoffsRestored = true;
         server = std::make_unique<GatewayServer>(context.get_executor(), *state);
         server->listen();
         caller.connect({asio::ip::make_address("127.0.0.1"), settings.callers.port});
--- a/testing/runnerbackoff_test.cpp
+++ b/testing/runnerbackoff_test.cpp
@@ -167,7 +167,11 @@
     fleet.runFor(500ms);
     EXPECT_FALSE(fleet.ready(0));
     fleet.store.faults = {};
-    ASSERT_TRUE(fleet.start());
+    ASSERT_TRUE(fleet.runUntil(
+        [&fleet] {
+            return fleet.ready(0);
+        },
+        3000ms));
     EXPECT_EQ(fleet.ask(0, fleet.request("/once/x")).status, 503U);
     EXPECT_EQ(unwantedRequests(fleet.requestsAt(0)), 0U);
 }
