--- a/fulmarlink/backoffrecorder.cpp
+++ b/fulmarlink/backoffrecorder.cpp
@@ -20,11 +20,6 @@
 constexpr Duration kCoalescingDelay = std::chrono::milliseconds(3); ///< one request may be refused by several runners in turn
 constexpr Duration kStoreRetry = std::chrono::milliseconds(250); ///< the same as for other store operations
 
-std::chrono::milliseconds unixNow()
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
-}
-
 } // namespace
 
 BackoffRecorder::BackoffRecorder(asio::io_context &context, GatewayState &state, Platform &platform)
--- a/fulmarlink/clock.cpp
+++ b/fulmarlink/clock.cpp
@@ -5,6 +5,11 @@
 namespace fulmarlink
 {
 
+std::chrono::milliseconds unixNow()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+}
+
 TimePoint SystemClock::now() const
 {
     return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
--- a/fulmarlink/clock.h
+++ b/fulmarlink/clock.h
@@ -22,6 +22,9 @@
     return std::max(std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(value));
 }
 
+/** Milliseconds since the Unix epoch by the machine's clock, which may be set forward or back. */
+std::chrono::milliseconds unixNow();
+
 /** Where decision code's callers take the time from: the machine's clock, or a virtual one. */
 class Clock
 {
--- a/fulmarlink/crashwatch.cpp
+++ b/fulmarlink/crashwatch.cpp
@@ -39,11 +39,6 @@
 constexpr std::size_t kMaxEnded = 256; ///< incarnations already handled; a runner's old connections break off within seconds of its end
 constexpr Duration kExpiryInterval = std::chrono::minutes(1);
 
-std::chrono::milliseconds unixNow()
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
-}
-
 std::string textOf(const std::vector<CrashSuspect> &suspects)
 {
     std::string result;
--- a/fulmarlink/limitwatch.cpp
+++ b/fulmarlink/limitwatch.cpp
@@ -20,11 +20,6 @@
 constexpr std::size_t kMaxLoggedMalformed = 1000; ///< incarnations remembered so that each is logged once
 constexpr Duration kStoreRetry = std::chrono::milliseconds(250); ///< the same as for other store operations
 
-std::chrono::milliseconds unixNow()
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
-}
-
 } // namespace
 
 LimitWatch::LimitWatch(asio::io_context &context, GatewayState &state, Platform &platform)
--- a/fulmarlink/log.cpp
+++ b/fulmarlink/log.cpp
@@ -1,5 +1,7 @@
 #include "fulmarlink/log.h"
 
+#include "fulmarlink/clock.h"
+
 #include <chrono>
 #include <cmath>
 #include <log4cxx/consoleappender.h>
@@ -121,7 +123,7 @@
 /** Seconds since the epoch with milliseconds; cheap, and the same in every time zone. */
 std::string timeText()
 {
-    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    const auto now = unixNow().count();
     std::string millis = std::to_string(now % 1000);
     millis.insert(0, 3 - millis.size(), '0');
     return std::to_string(now / 1000) + '.' + millis;
