Crash watch: a runner that answers again leaves the list of ended ones as well

It stayed in the order of eviction, so that a later end of it could be forgotten too early. Found by reading; with 256 ends kept no play shows it.

--- a/fulmarlink/crashwatch.cpp
+++ b/fulmarlink/crashwatch.cpp
@@ -250,7 +250,9 @@
 void CrashWatch::runnerAnswered(const TargetIncarnation &incarnation)
 {
     m_state.attempts.recordAnswer(incarnation);
-    m_ended.erase(incarnation);
+    if (m_ended.erase(incarnation) > 0) {
+        std::erase(m_endedOrder, incarnation);
+    }
 }
 
 void CrashWatch::restarted(const std::string &targetId, std::uint64_t born)
