Backoffs: a refusal does not wait while the store takes no records

A request that was refused because runners asked to back off waited 0.1 s for the store with each refusal while the store was away; a refusal is due at once. It now waits only while writes succeed.

RunnersBackoff.RefusalDoesNotWaitForAStoreThatFails failed before: 0.1 s.

--- a/fulmarlink/backoffrecorder.cpp
+++ b/fulmarlink/backoffrecorder.cpp
@@ -102,14 +102,11 @@
         m_lastWriteSucceeded = !error;
         logChange("backoff-record-written", {{"done", error ? "false" : "true"}, {"error", error ? error.message() : ""}});
     }
-    if (error) {
-        co_return false;
-    }
-    m_recordedChanges = changes;
+    m_recordedChanges = error ? m_recordedChanges : changes;
     for (asio::steady_timer *timer : m_waiting) {
         timer->cancel();
     }
-    co_return true;
+    co_return !error;
 }
 
 std::vector<BackoffRecord> BackoffRecorder::currentBackoffs() const
@@ -127,7 +124,7 @@
 {
     const std::uint64_t changes = m_changes;
     const TimePoint end = m_state.clock.now() + limit;
-    while (m_recordedChanges < changes && m_state.clock.now() < end) {
+    while (m_lastWriteSucceeded && m_recordedChanges < changes && m_state.clock.now() < end) {
         boost::system::error_code ignored; // the timer is cancelled after each write
         asio::steady_timer timer(m_context, end - m_state.clock.now());
         m_waiting.insert(&timer);
--- a/fulmarlink/backoffrecorder.h
+++ b/fulmarlink/backoffrecorder.h
@@ -34,7 +34,7 @@
     boost::asio::awaitable<void> run();
     /** Call when a backoff has begun or been extended. */
     void backoffExtended();
-    /** Waits until the backoffs known now are in the store, but not longer than @p limit. */
+    /** Waits until the backoffs known now are in the store, but not longer than @p limit, and not while writes fail. */
     boost::asio::awaitable<void> awaitRecorded(Duration limit);
 
 private:
--- a/testing/runnerbackoff_test.cpp
+++ b/testing/runnerbackoff_test.cpp
@@ -176,6 +176,21 @@
     EXPECT_EQ(unwantedRequests(fleet.requestsAt(0)), 0U);
 }
 
+// Guards against refusals that wait for a store that takes no records.
+TEST(RunnersBackoff, RefusalDoesNotWaitForAStoreThatFails)
+{
+    GatewayFleet fleet({.gateways = 1, .runners = 1});
+    ASSERT_TRUE(fleet.start());
+    fleet.store.faults.refusalStatus = 503;
+    fleet.setRefusals(0, 1, "0.3");
+    ASSERT_EQ(fleet.ask(0, fleet.request("/once/x")).status, 503U);
+    fleet.runFor(400ms); // the first write has failed, and the runner may be asked again
+    const auto began = std::chrono::steady_clock::now();
+    ASSERT_EQ(fleet.ask(0, fleet.request("/once/x")).status, 503U);
+    EXPECT_LT(std::chrono::steady_clock::now() - began, 50ms);
+    EXPECT_EQ(refusals(fleet.requestsAt(0)), 2U);
+}
+
 TEST(RunnersBackoff, CallersAreRefusedAtOnceWhileAllRunnersBackOff)
 {
     constexpr unsigned kRunners = 3;
