--- a/fulmarlink/log.cpp
+++ b/fulmarlink/log.cpp
@@ -1,7 +1,5 @@
 #include "fulmarlink/log.h"
 
-#include "fulmarlink/clock.h"
-
 #include <chrono>
 #include <cmath>
 #include <log4cxx/consoleappender.h>
@@ -14,6 +12,8 @@
 #include <sstream>
 #include <unistd.h>
 
+#include "fulmarlink/clock.h"
+
 namespace fulmarlink
 {
 
--- a/fulmarlink/resultcode.cpp
+++ b/fulmarlink/resultcode.cpp
@@ -94,7 +94,7 @@
      502,
      Unknown,
      false,
-     "The runner ended before it gave the first part of the answer; the request is not sent to another one, since it may be the cause."},
+     "The runner ended, or may have, before it gave the first part of the answer; the request is not sent to another one, since it may be the cause."},
     {ResultCode::FrameTooLarge, "frame-too-large", 0, NotARequest, false, "A frame is larger than kMaxFrameBytes; the link is closed."},
     {ResultCode::FrameInvalid, "frame-invalid", 0, NotARequest, false, "A frame does not verify; the link is closed."},
     {ResultCode::ProtocolMajorDiffers, "protocol-major-differs", 0, NotARequest, false, "The peer speaks another major version; the link is closed."},
