--- a/bench/crashwaves_bench.cpp
+++ b/bench/crashwaves_bench.cpp
@@ -2,7 +2,6 @@
 // refused that crash no runner, and how many runners a crashing request gets.
 //   build/crashwaves_bench [PLAYS]
 
-#include <algorithm>
 #include <iomanip>
 #include <iostream>
 #include <string>
@@ -44,24 +43,10 @@
 
 void print(const Row &row, std::uint64_t plays)
 {
-    CrashSimulationResult sum;
-    unsigned mostCrashed = 0;
-    double crashed = 0;
-    CrashSimulationOptions options = row.options;
-    for (options.seed = 1; options.seed <= plays; ++options.seed) {
-        const CrashSimulationResult result = CrashSimulation(options).run();
-        sum.answered += result.answered;
-        sum.cut += result.cut;
-        sum.heldBack += result.heldBack;
-        sum.banned += result.banned;
-        for (const unsigned runners : result.runnersCrashed) {
-            mostCrashed = std::max(mostCrashed, runners);
-            crashed += runners;
-        }
-    }
-    const auto crashers = static_cast<double>(plays * std::max(1U, options.crashingRequests));
-    std::cout << std::left << std::setw(56) << row.name << std::right << std::setw(9) << sum.answered << std::setw(8) << sum.cut << std::setw(6) << sum.heldBack
-              << std::setw(8) << sum.banned << std::setw(8) << std::fixed << std::setprecision(2) << crashed / crashers << std::setw(6) << mostCrashed << '\n';
+    const CrashSimulationTotals totals = playCrashSimulation(row.options, plays);
+    std::cout << std::left << std::setw(56) << row.name << std::right << std::setw(9) << totals.answered << std::setw(8) << totals.cut << std::setw(6)
+              << totals.heldBack << std::setw(8) << totals.banned << std::setw(8) << std::fixed << std::setprecision(2) << totals.meanCrashed << std::setw(6)
+              << totals.mostCrashed << '\n';
 }
 
 } // namespace
--- a/testing/crashwaves_test.cpp
+++ b/testing/crashwaves_test.cpp
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "testing/harness/crashsimulation.h"
+#include "testing/harness/mutation_on.h"
 
 namespace fulmarlink::testing
 {
@@ -20,6 +21,7 @@
 using namespace std::chrono_literals;
 
 constexpr unsigned kMostCrashes = 3; ///< runners that one request may crash
+constexpr unsigned kMostRetries = 3; ///< after the last of them, before the platform counts it as a fault
 
 std::uint64_t plays()
 {
@@ -27,37 +29,6 @@
     return text == nullptr ? 20 : std::stoull(text);
 }
 
-/** Sums over plays with different seeds. */
-struct Totals {
-    unsigned answered = 0;
-    unsigned cut = 0;
-    unsigned heldBack = 0;
-    unsigned banned = 0;
-    unsigned mostOwnCrashes = 0;
-    unsigned mostCrashed = 0; ///< runners that one crashing request ended, at most
-    double meanCrashed = 0; ///< per crashing request
-};
-
-Totals play(CrashSimulationOptions options, std::uint64_t seeds)
-{
-    Totals totals;
-    double crashed = 0;
-    for (options.seed = 1; options.seed <= seeds; ++options.seed) {
-        const CrashSimulationResult result = CrashSimulation(options).run();
-        totals.answered += result.answered;
-        totals.cut += result.cut;
-        totals.heldBack += result.heldBack;
-        totals.banned += result.banned;
-        totals.mostOwnCrashes = std::max(totals.mostOwnCrashes, result.mostOwnCrashes);
-        for (const unsigned runners : result.runnersCrashed) {
-            totals.mostCrashed = std::max(totals.mostCrashed, runners);
-            crashed += runners;
-        }
-    }
-    totals.meanCrashed = crashed / static_cast<double>(std::max<std::uint64_t>(1, seeds * options.crashingRequests));
-    return totals;
-}
-
 struct Case {
     const char *name;
     CrashSimulationOptions options;
@@ -94,7 +65,7 @@
 {
     CrashSimulationOptions options = GetParam().options;
     options.callerRepeats = 0;
-    const Totals totals = play(options, plays());
+    const CrashSimulationTotals totals = playCrashSimulation(options, plays());
     EXPECT_GT(totals.answered, 0U);
     EXPECT_EQ(totals.heldBack, 0U);
     EXPECT_EQ(totals.banned, 0U);
@@ -108,10 +79,45 @@
     for (const unsigned crashing : {1U, 2U}) {
         CrashSimulationOptions options = GetParam().options;
         options.crashingRequests = crashing;
-        EXPECT_LE(play(options, plays()).mostCrashed, kMostCrashes * knowing);
+        EXPECT_LE(playCrashSimulation(options, plays()).mostCrashed, kMostCrashes * knowing);
     }
 }
 
+// Guards against a request that crashes runners in mid-answer and gets one more of them with each wave.
+TEST_P(CrashWaves, RequestThatCrashesRunnersInMidAnswerGetsOneMoreAtMostBesideWaves)
+{
+    const unsigned knowing = GetParam().options.storeAway ? GetParam().options.hosts : 1;
+    for (const unsigned crashing : {1U, 2U}) {
+        CrashSimulationOptions options = GetParam().options;
+        options.crashingRequests = crashing;
+        options.crashLate = true;
+        EXPECT_LE(playCrashSimulation(options, plays()).mostCrashed, (kMostCrashes + CrashPolicy().maxExplainedCrashes) * knowing);
+    }
+}
+
+// Guards against a request that gets runners without end because it was given up at each of them before it crashed them.
+TEST_P(CrashWaves, RequestThatIsBegunAfterItWasGivenUpStopsWithinTheRule)
+{
+    const unsigned knowing = GetParam().options.storeAway ? GetParam().options.hosts : 1;
+    CrashSimulationOptions options = GetParam().options;
+    options.crashingRequests = 2;
+    options.slowShare = 0.5;
+    options.slowRunnersKeepRequests = true;
+    EXPECT_LE(playCrashSimulation(options, plays()).mostCrashed, (kMostCrashes + kMostRetries) * knowing);
+}
+
 INSTANTIATE_TEST_SUITE_P(Simulation, CrashWaves, kWaves, caseName);
 
+TEST(CrashWavesMutation, ResendAfterCrashIsDetected)
+{
+    const ScopedMutation scoped(Mutation::ResendAfterCrash);
+    EXPECT_GT(playCrashSimulation({.maxAttempts = 3, .callerRepeats = 0}, 20).mostOwnCrashes, 2U);
+}
+
+TEST(CrashWavesMutation, NeverBanIsDetected)
+{
+    const ScopedMutation scoped(Mutation::NeverBan);
+    EXPECT_GT(playCrashSimulation({.crashingRequests = 1, .crashLate = true}, 20).mostCrashed, kMostCrashes + CrashPolicy().maxExplainedCrashes);
+}
+
 } // namespace fulmarlink::testing
--- a/testing/harness/crashsimulation.cpp
+++ b/testing/harness/crashsimulation.cpp
@@ -36,6 +36,26 @@
 
 } // namespace
 
+CrashSimulationTotals playCrashSimulation(CrashSimulationOptions options, std::uint64_t plays)
+{
+    CrashSimulationTotals totals;
+    double crashed = 0;
+    for (options.seed = 1; options.seed <= plays; ++options.seed) {
+        const CrashSimulationResult result = CrashSimulation(options).run();
+        totals.answered += result.answered;
+        totals.cut += result.cut;
+        totals.heldBack += result.heldBack;
+        totals.banned += result.banned;
+        totals.mostOwnCrashes = std::max(totals.mostOwnCrashes, result.mostOwnCrashes);
+        for (const unsigned runners : result.runnersCrashed) {
+            totals.mostCrashed = std::max(totals.mostCrashed, runners);
+            crashed += runners;
+        }
+    }
+    totals.meanCrashed = crashed / static_cast<double>(std::max<std::uint64_t>(1, plays * options.crashingRequests));
+    return totals;
+}
+
 CrashSimulation::CrashSimulation(CrashSimulationOptions options)
     : m_options(options)
     , m_random(options.seed)
--- a/testing/harness/crashsimulation.h
+++ b/testing/harness/crashsimulation.h
@@ -42,6 +42,20 @@
     std::vector<unsigned> runnersCrashed; ///< by each crashing request
 };
 
+/** Sums and maxima over plays. */
+struct CrashSimulationTotals {
+    unsigned answered = 0;
+    unsigned cut = 0;
+    unsigned heldBack = 0;
+    unsigned banned = 0;
+    unsigned mostOwnCrashes = 0;
+    unsigned mostCrashed = 0; ///< runners that one crashing request ended, at most
+    double meanCrashed = 0; ///< runners that one crashing request ended
+};
+
+/** Plays the seeds from 1 to @p plays. */
+CrashSimulationTotals playCrashSimulation(CrashSimulationOptions options, std::uint64_t plays);
+
 /**
  * Several hosts with the product's crash history, record of attempts and retry policy, in front
  * of runners that end in waves and under crashing requests, in virtual time. Unlike the hosts it
