Crash history: ends of runners that had not read a request do not count

Callers got 503 with a Retry-After of an hour for a status request that many share, while runners ended in waves on a busy machine.

Cause: a lost attempt counted as a crash before the answer, whether the runner had read it or not. TCP resets what is closed with unread data.

An attempt that was reset before any part of the answer, and whose request fits a server's first read, does not count, once a runner of the pool has closed another request's connection in order at its end. Records carry pool, unread and closed_in_order; records without them count as before.

Weighed and not taken: trusting resets without a close in order (a server that resets all its connections would give a crashing request runners without end).

--- a/fulmarlink/crashhistory.cpp
+++ b/fulmarlink/crashhistory.cpp
@@ -68,6 +68,9 @@
 void CrashHistory::index(const CrashRecord &record, TimePoint receivedAt)
 {
     for (const CrashSuspect &suspect : record.suspects) {
+        if (suspect.closedInOrder && !record.pool.empty()) {
+            m_orderlyPools.insert(record.pool);
+        }
         Request &request = m_requests[suspect.fingerprint];
         request.customer = suspect.customer;
         request.route = suspect.route;
@@ -86,6 +89,8 @@
             it->second.answerStarted = it->second.answerStarted && suspect.answerStarted;
             it->second.unanswered = it->second.unanswered && suspect.unanswered;
             it->second.unlikely = it->second.unlikely && suspect.unlikely;
+            it->second.unread = it->second.unread && suspect.unread;
+            it->second.pool = record.pool;
             it->second.exposure = std::max(it->second.exposure, suspect.exposure);
             indexEnd(counted, record.writtenAt, true);
             m_lastEndAt = std::max(m_lastEndAt, receivedAt);
@@ -258,6 +263,7 @@
     std::map<RequestFingerprint, Request> before = std::exchange(m_requests, {});
     m_ends.clear();
     m_endOrder.clear();
+    m_orderlyPools.clear();
     for (const auto &[incarnation, detectedAt] : m_observedEnds) {
         indexEnd(incarnation, detectedAt, false);
     }
--- a/fulmarlink/crashhistory.h
+++ b/fulmarlink/crashhistory.h
@@ -129,6 +129,8 @@
         bool answerStarted = true; ///< in every record of this incarnation
         bool unanswered = true; ///< in every record of this incarnation
         bool unlikely = true; ///< in every record of this incarnation
+        bool unread = true; ///< in every record of this incarnation
+        std::string pool; ///< of the runner
         std::chrono::milliseconds exposure{0}; ///< longest of all records of this incarnation
     };
 
@@ -173,12 +175,14 @@
     Counts countCrashes(const Request &request) const;
     void judge(const Counts &counts, TimePoint now, CrashStatus &status) const;
     Duration remainingHold(TimePoint lastEvent, double chance, TimePoint now) const;
+    bool counts(const Request &request, const TargetIncarnation &incarnation, const Crash &crash) const;
     static unsigned unclearedCrashes(const Request &request);
 
     const CrashPolicy m_policy;
     std::map<std::string, Stored> m_records; ///< by name
     std::map<RequestFingerprint, Request> m_requests;
     std::map<TargetIncarnation, End> m_ends;
+    std::set<std::string> m_orderlyPools; ///< of which a runner that ended closed the connection of a request in order
     std::map<TargetIncarnation, std::chrono::milliseconds> m_observedEnds; ///< without a record, by this host
     std::deque<TargetIncarnation> m_observedOrder; ///< m_observedEnds, oldest first
     std::set<std::pair<std::chrono::milliseconds, TargetIncarnation>> m_endOrder; ///< m_ends by time
--- a/fulmarlink/crashrecord.cpp
+++ b/fulmarlink/crashrecord.cpp
@@ -16,7 +16,8 @@
 {
     std::string result;
     for (const CrashSuspect &suspect : suspects) {
-        result += (result.empty() ? "" : ",") + std::string(suspectStateName(suspect.state)) + (suspect.answerStarted ? "+answering" : "");
+        result += (result.empty() ? "" : ",") + std::string(suspectStateName(suspect.state)) + (suspect.answerStarted ? "+answering" : "")
+                  + (suspect.unread ? "+unread" : "");
     }
     return result;
 }
--- a/fulmarlink/crashrecord.h
+++ b/fulmarlink/crashrecord.h
@@ -40,6 +40,8 @@
     bool answerStarted = false; ///< parts of its answer had been received, or may have been: counts towards a ban only
     bool unanswered = false; ///< no part of its answer was received, though the runner may not have begun it
     bool unlikely = false; ///< the runner had answered others after this host had given the request up
+    bool unread = false; ///< its connection was reset, which tells that the runner had not read it if runners of the pool close others in order
+    bool closedInOrder = false; ///< its connection was closed in order, so the runner had read it
     SuspectState state = SuspectState::InProgress; ///< for this host's log; not part of the record
     std::chrono::milliseconds exposure{0}; ///< how long the runner had the request before it ended; 0: unknown, as in records of earlier versions
     std::vector<TargetIncarnation> survivors{}; ///< other runners that had the request at least as long and had not ended
@@ -61,6 +63,7 @@
     CrashRecordKind kind = CrashRecordKind::Crash;
     std::string host; ///< the writer
     std::chrono::milliseconds writtenAt{0}; ///< Unix time by that host's clock
+    std::string pool; ///< Crash: of the runner; empty: unknown, as in records of earlier versions
     std::vector<TargetIncarnation> incarnations; ///< Crash: one; Trial: none
     std::vector<CrashSuspect> suspects; ///< Cleared and Trial: one
 };
--- a/fulmarlink/crashverdicts.cpp
+++ b/fulmarlink/crashverdicts.cpp
@@ -28,6 +28,17 @@
     return "clear";
 }
 
+/**
+ * Whether the end of the runner counts against the request: it has not been cleared of it, and the runner had read it. A process that ends closes
+ * its connections in order, but resets those with data that it has not read, as TCP demands. A server may also be set up to reset them all, so
+ * resets tell this only in pools whose runners have been seen to close others in order.
+ */
+bool CrashHistory::counts(const Request &request, const TargetIncarnation &incarnation, const Crash &crash) const
+{
+    const bool unread = crash.unread && m_orderlyPools.contains(crash.pool);
+    return !unread && !request.cleared.contains(incarnation);
+}
+
 /**
  * Number of runners that outlived the request: they had begun it at least as long ago as it took others to end, shortly before the latest of its
  * crashes, and if they ended under it as well, that was later than at the same time as the others.
@@ -36,7 +47,7 @@
 {
     std::chrono::milliseconds last{0};
     for (const auto &[incarnation, crash] : request.crashes) {
-        last = request.cleared.contains(incarnation) ? last : std::max(last, m_ends.at(incarnation).detectedAt);
+        last = counts(request, incarnation, crash) ? std::max(last, m_ends.at(incarnation).detectedAt) : last;
     }
     return static_cast<unsigned>(std::ranges::count_if(request.survivors, [&](const auto &survivor) {
         const auto &[incarnation, alive] = survivor;
@@ -50,7 +61,7 @@
 {
     std::vector<std::chrono::milliseconds> times;
     for (const auto &[incarnation, crash] : request.crashes) {
-        if (!request.cleared.contains(incarnation)) {
+        if (counts(request, incarnation, crash)) {
             times.push_back(m_ends.at(incarnation).detectedAt);
         }
     }
@@ -72,7 +83,7 @@
 {
     std::vector<std::chrono::milliseconds> times;
     for (const auto &[incarnation, crash] : request.crashes) {
-        if (!request.cleared.contains(incarnation)) {
+        if (counts(request, incarnation, crash)) {
             times.push_back(m_ends.at(incarnation).detectedAt);
         }
     }
@@ -96,7 +107,8 @@
     for (const Interval &interval : timesAround(request)) {
         result.runnerSeconds += static_cast<double>(m_runners) * std::chrono::duration<double>(interval.to - interval.from).count();
         for (auto it = m_endOrder.lower_bound({interval.from, {}}); it != m_endOrder.end() && it->first <= interval.to; ++it) {
-            const bool isOwn = request.crashes.contains(it->second) && !request.cleared.contains(it->second);
+            const auto crash = request.crashes.find(it->second);
+            const bool isOwn = crash != request.crashes.end() && counts(request, crash->first, crash->second);
             result.otherEnds += isOwn ? 0 : 1;
         }
     }
@@ -109,7 +121,7 @@
     CrashComparison all = othersAround(request);
     CrashComparison beforeAnswer = all;
     for (const auto &[incarnation, crash] : request.crashes) {
-        if (request.cleared.contains(incarnation)) {
+        if (!counts(request, incarnation, crash)) {
             continue;
         }
         const double exposure = std::chrono::duration<double>(crash.exposure).count();
@@ -139,7 +151,7 @@
     Counts result;
     result.lastEvent = request.lastTrialAt;
     for (const auto &[incarnation, crash] : request.crashes) {
-        if (request.cleared.contains(incarnation)) {
+        if (!counts(request, incarnation, crash)) {
             continue;
         }
         ++result.all;
@@ -204,7 +216,7 @@
         }
         HeldRequest heldRequest{fingerprint, request.customer, request.route, requestStatus, {}};
         for (const auto &[incarnation, crash] : request.crashes) {
-            if (!request.cleared.contains(incarnation)) {
+            if (counts(request, incarnation, crash)) {
                 heldRequest.incarnations.push_back(incarnation);
             }
         }
--- a/fulmarlink/crashwatch.cpp
+++ b/fulmarlink/crashwatch.cpp
@@ -283,6 +283,8 @@
 void CrashWatch::recordCrash(const TargetIncarnation &incarnation, std::vector<CrashSuspect> suspects)
 {
     CrashRecord record = newRecord(CrashRecordKind::Crash, "crash." + incarnation.id + '.' + std::to_string(incarnation.born));
+    const TargetInfo *target = m_state.targets.find(incarnation.id);
+    record.pool = target == nullptr ? std::string() : target->pool;
     record.incarnations.push_back(incarnation);
     record.suspects = std::move(suspects);
     enqueue(record);
--- a/fulmarlink/gatewayattempt.cpp
+++ b/fulmarlink/gatewayattempt.cpp
@@ -98,7 +98,7 @@
         ++m_sends;
         ++m_possibleRuns;
         end = AttemptEnd::Broken;
-        m_connectionLost = false;
+        m_connectionEnd = ConnectionEnd::Open;
         m_runnerEnded = false;
         m_eventsBefore = m_events.events();
         m_current.sentAt = m_state.clock.now();
--- a/fulmarlink/gatewaycrashes.cpp
+++ b/fulmarlink/gatewaycrashes.cpp
@@ -14,6 +14,14 @@
 
 namespace asio = boost::asio;
 
+namespace
+{
+
+/** Common servers read at least so much at once. Of a longer request a runner may have read a part. */
+constexpr std::size_t kMaxSingleReadBytes = 512;
+
+} // namespace
+
 RequestFingerprint GatewayExchange::fingerprint() const
 {
     const auto target = m_request.target();
@@ -67,14 +75,32 @@
     return m_state.crashes.status(m_fingerprint, now).crashes + static_cast<unsigned>(unresolved) + static_cast<unsigned>(unreachable);
 }
 
+/** The outcome of the last attempt, which brought no complete answer. */
+RunnerAttempts::Outcome GatewayExchange::lostOutcome() const
+{
+    const bool answerStarted = m_events.events() > m_eventsBefore;
+    const bool readAtOnce = m_current.requestBytes <= kMaxSingleReadBytes;
+    switch (m_connectionEnd) {
+    case ConnectionEnd::Open:
+        return RunnerAttempts::Outcome::Broken;
+    case ConnectionEnd::InOrder:
+        return RunnerAttempts::Outcome::LostInOrder;
+    case ConnectionEnd::Reset:
+        return readAtOnce && !answerStarted ? RunnerAttempts::Outcome::LostUnread : RunnerAttempts::Outcome::Lost;
+    case ConnectionEnd::Failed:
+        return RunnerAttempts::Outcome::Lost;
+    }
+    return RunnerAttempts::Outcome::Lost;
+}
+
 /** Records the end of the attempt: in the runner's attempts, for the request's crash status, and, if the connection broke off, whether the runner ended. */
 asio::awaitable<void> GatewayExchange::recordCrashEvidence(AttemptEnd end)
 {
     const TargetInfo target = m_current.target;
     const TimePoint now = m_state.clock.now();
     const bool broken = end == AttemptEnd::Broken && !m_callerGone;
-    const RunnerAttempts::Outcome brokenOutcome = m_connectionLost ? RunnerAttempts::Outcome::Lost : RunnerAttempts::Outcome::Broken;
-    const bool reported = m_state.attempts.recordEnd(m_current.token, broken ? brokenOutcome : RunnerAttempts::Outcome::Resolved, now);
+    const RunnerAttempts::Outcome outcome = broken ? lostOutcome() : RunnerAttempts::Outcome::Resolved;
+    const bool reported = m_state.attempts.recordEnd(m_current.token, outcome, now);
     if (end == AttemptEnd::Answered || end == AttemptEnd::Failed) {
         m_state.crashes.requestCompleted(m_fingerprint, now);
     }
@@ -82,9 +108,12 @@
         co_return;
     }
     m_brokenAttempts.push_back(m_current.token);
-    if (m_connectionLost) {
+    if (m_connectionEnd != ConnectionEnd::Open) {
         if (reported && m_events.events() == m_eventsBefore) {
-            m_state.crashWatch->suspectLost({target.id, target.born}, crashSuspect());
+            CrashSuspect suspect = crashSuspect();
+            suspect.unread = outcome == RunnerAttempts::Outcome::LostUnread;
+            suspect.closedInOrder = outcome == RunnerAttempts::Outcome::LostInOrder;
+            m_state.crashWatch->suspectLost({target.id, target.born}, std::move(suspect));
         }
         const RunnerProbe probe = co_await m_state.crashWatch->probe(target);
         m_runnerEnded = probe != RunnerProbe::Accepts && m_events.events() == m_eventsBefore;
--- a/fulmarlink/gatewayexchange.h
+++ b/fulmarlink/gatewayexchange.h
@@ -77,6 +77,7 @@
     boost::asio::awaitable<void> setCurrentOverdue();
     void closeCurrent(AttemptEnd end, const std::exception_ptr &error);
     void closeOverdue();
+    RunnerAttempts::Outcome lostOutcome() const;
     bool keepsOverdueAttempts() const;
     RunnerExclusion reserveSendTo(const TargetInfo &target);
     boost::asio::awaitable<bool> write(TargetConnection &connection, const TargetInfo &target);
@@ -137,7 +138,7 @@
     bool m_answerBegun = false;
     bool m_trialDue = false; ///< the request is held back after crashes and a trial run is due
     bool m_heldBack = false; ///< by crashes that became known after admission
-    bool m_connectionLost = false; ///< the last attempt's connection was broken by the runner or the network, not by a timeout
+    ConnectionEnd m_connectionEnd = ConnectionEnd::Open; ///< of the last attempt
     bool m_runnerEnded = false; ///< the last attempt's runner ended, or may have, before it sent an event
     std::vector<RunnerAttempts::Token> m_brokenAttempts; ///< attempts whose outcome is unknown
     std::optional<Duration> m_backoff; ///< requested by the runner of the last attempt
--- a/fulmarlink/gatewayrelay.cpp
+++ b/fulmarlink/gatewayrelay.cpp
@@ -42,6 +42,19 @@
 constexpr unsigned kServerError = 500;
 constexpr unsigned kMaxPriority = 9;
 
+/** @p answerBegun: some of the answer has arrived, so a reset does not mean that the request was not read. */
+ConnectionEnd connectionEnd(const boost::system::error_code &error, bool answerBegun)
+{
+    if (!error || error == boost::beast::error::timeout) {
+        return ConnectionEnd::Open;
+    }
+    if (error == http::error::end_of_stream || error == http::error::partial_message || error == asio::error::eof) {
+        return ConnectionEnd::InOrder;
+    }
+    const bool reset = error == asio::error::connection_reset || error == asio::error::broken_pipe;
+    return reset && !answerBegun ? ConnectionEnd::Reset : ConnectionEnd::Failed;
+}
+
 bool isEventStream(const http::fields &head)
 {
     return head[http::field::content_type].starts_with("text/event-stream");
@@ -61,10 +74,10 @@
     m_state.protocol.writeRequest(request, runnerRequest);
     boost::system::error_code error;
     connection.stream.expires_after(timerMs(timeLeft()));
-    co_await http::async_write(connection.stream, request, asio::redirect_error(asio::use_awaitable, error));
+    m_current.requestBytes = co_await http::async_write(connection.stream, request, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         m_reason = "write: " + error.message();
-        m_connectionLost = error != boost::beast::error::timeout;
+        m_connectionEnd = connectionEnd(error, false);
         m_state.targets.requestFailed(target.id, m_state.clock.now());
     }
     co_return !error;
@@ -140,7 +153,7 @@
         if (error) {
             const bool silent = error == boost::beast::error::timeout;
             m_reason = silent ? "silent" : "head: " + error.message();
-            m_connectionLost = !silent;
+            m_connectionEnd = connectionEnd(error, parser->got_some());
             if (!m_callerGone) {
                 m_state.targets.requestFailed(target.id, m_state.clock.now());
             }
@@ -210,7 +223,7 @@
     const boost::system::error_code error = co_await readBody(connection, parser, body);
     if (error) {
         m_reason = "body: " + error.message();
-        m_connectionLost = error != boost::beast::error::timeout;
+        m_connectionEnd = connectionEnd(error, true);
         co_return AttemptEnd::Broken;
     }
     if (parser.keep_alive() && m_current.connection) {
@@ -269,7 +282,7 @@
         }
         if (error || m_events.tooLong()) {
             m_reason = "stream: " + error.message();
-            m_connectionLost = error && error != boost::beast::error::timeout;
+            m_connectionEnd = connectionEnd(error, true);
             m_events.reset();
             co_return AttemptEnd::Broken;
         }
--- a/fulmarlink/runnerattempts.cpp
+++ b/fulmarlink/runnerattempts.cpp
@@ -103,6 +103,7 @@
     const auto it = m_attempts.find(token);
     if (it != m_attempts.end()) {
         it->second.suspect.state = SuspectState::GivenUp;
+        it->second.suspect.unread = false;
     }
 }
 
@@ -126,7 +127,9 @@
         m_attempts.erase(it);
     } else {
         it->second.inProgress = false;
-        it->second.suspect.state = outcome == Outcome::Lost ? SuspectState::Lost : SuspectState::GivenUp;
+        it->second.suspect.state = outcome == Outcome::Broken ? SuspectState::GivenUp : SuspectState::Lost;
+        it->second.suspect.unread = outcome == Outcome::LostUnread;
+        it->second.suspect.closedInOrder = outcome == Outcome::LostInOrder;
         it->second.endedAt = now;
     }
     removeExpired(now);
--- a/fulmarlink/runnerattempts.h
+++ b/fulmarlink/runnerattempts.h
@@ -39,6 +39,8 @@
         Resolved, ///< answered, refused, or abandoned by its caller: not a suspect if the runner ends later
         Broken, ///< given up by this host before a complete answer or a refusal
         Lost, ///< its connection was closed by the runner or the network before a complete answer or a refusal
+        LostUnread, ///< the same, by a reset before any part of the answer; the runner would have read the request at once
+        LostInOrder, ///< the same, by an orderly close
     };
 
     /** How an attempt began. */
--- a/standins/platformfleet.cpp
+++ b/standins/platformfleet.cpp
@@ -325,6 +325,9 @@
     while (again) {
         boost::system::error_code error;
         HttpRequest request;
+        while (stalled) {
+            co_await pause(std::chrono::milliseconds(1));
+        }
         co_await http::async_read(stream, buffer, request, asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             break;
--- a/standins/platformfleet.h
+++ b/standins/platformfleet.h
@@ -104,6 +104,7 @@
     const std::string &id() const;
     /** Simulates the end of the process: closes open connections and refuses new ones. */
     void end();
+    bool stalled = false; ///< accepts connections and reads nothing
     bool silentCrash = false; ///< end() leaves open connections open, so callers aren't notified
     /** Sets the id of the next incarnation; call listen() afterwards. */
     void setId(std::string id);
