Crash history: a completion on another host speaks for later ends too

A Cleared record named the ends known by then; the next ones counted anew on hosts that had not seen an answer themselves.

The record carries the age of the completion now, and ends up to 10 s after it do not count on any host, as they did not on the one that saw it. An operator's release has no age and clears what it names. CompletionAtAnotherHostSpeaksForTheRequestAsLongAsOneHere was banned before.

--- a/fulmarlink/crashhistory.cpp
+++ b/fulmarlink/crashhistory.cpp
@@ -60,7 +60,7 @@
         if (completedRecently(suspect.fingerprint, now)) {
             clear(request);
         }
-        queueClearance(suspect.fingerprint, request);
+        queueClearance(suspect.fingerprint, request, now);
     }
     return true;
 }
@@ -79,6 +79,9 @@
             request.lastTrialAt = std::max(request.lastTrialAt, receivedAt);
             continue;
         }
+        if (record.kind == CrashRecordKind::Cleared && record.completionAge) {
+            request.completedAt = std::max(request.completedAt, record.writtenAt - *record.completionAge);
+        }
         for (const TargetIncarnation &incarnation : record.incarnations) {
             if (record.kind == CrashRecordKind::Cleared) {
                 request.cleared.insert(incarnation);
@@ -165,7 +168,7 @@
     const auto it = m_requests.find(fingerprint);
     if (it != m_requests.end() && unclearedCrashes(it->second) > 0) {
         clear(it->second);
-        queueClearance(fingerprint, it->second);
+        queueClearance(fingerprint, it->second, now);
     }
 }
 
@@ -190,7 +193,7 @@
  * Queues a Cleared record only if other hosts may hold the request back, which takes
  * holdAfterCrashes incarnations: most suspects of a crash did not cause it and never get that far.
  */
-void CrashHistory::queueClearance(const RequestFingerprint &fingerprint, Request &request)
+void CrashHistory::queueClearance(const RequestFingerprint &fingerprint, Request &request, TimePoint now)
 {
     if (!request.clearanceUnpublished || request.crashes.size() < m_policy.holdAfterCrashes) {
         return;
@@ -198,6 +201,10 @@
     request.clearanceUnpublished = false;
     CrashRecord record;
     record.kind = CrashRecordKind::Cleared;
+    const auto completion = m_completions.find(fingerprint);
+    if (completion != m_completions.end()) {
+        record.completionAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - completion->second);
+    }
     record.incarnations.assign(request.cleared.begin(), request.cleared.end());
     record.suspects.push_back({fingerprint, request.customer, request.route, false});
     m_clearances.push_back(std::move(record));
--- a/fulmarlink/crashhistory.h
+++ b/fulmarlink/crashhistory.h
@@ -140,6 +140,7 @@
         std::map<TargetIncarnation, Crash> crashes;
         std::set<TargetIncarnation> cleared;
         std::map<TargetIncarnation, Interval> survivors; ///< from when until when each is known to have lived with the request
+        std::chrono::milliseconds completedAt{0}; ///< Unix time of the latest completion in a Cleared record; 0: none
         bool clearanceUnpublished = false; ///< cleared of a crash since its last Cleared record was queued
         unsigned trials = 0;
         TimePoint lastTrialAt{};
@@ -161,7 +162,7 @@
 
     void index(const CrashRecord &record, TimePoint receivedAt);
     static void clear(Request &request);
-    void queueClearance(const RequestFingerprint &fingerprint, Request &request);
+    void queueClearance(const RequestFingerprint &fingerprint, Request &request, TimePoint now);
     void rebuildIndex();
     void evictRecords();
     bool holdsBack(const CrashRecord &record) const;
--- a/fulmarlink/crashrecord.h
+++ b/fulmarlink/crashrecord.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -66,6 +67,8 @@
     std::string pool; ///< Crash: of the runner; empty: unknown, as in records of earlier versions
     std::vector<TargetIncarnation> incarnations; ///< Crash: one; Trial: none
     std::vector<CrashSuspect> suspects; ///< Cleared and Trial: one
+    /** Cleared: how long before writtenAt the writer had last seen the request answered; empty: it was cleared for another reason. */
+    std::optional<std::chrono::milliseconds> completionAge{};
 };
 
 /** Lists for log lines, separated by commas: the fingerprints, what had become of each attempt, the runners and their starts. */
--- a/fulmarlink/crashverdicts.cpp
+++ b/fulmarlink/crashverdicts.cpp
@@ -29,14 +29,17 @@
 }
 
 /**
- * Whether the end of the runner counts against the request: it has not been cleared of it, and the runner had read it. A process that ends closes
- * its connections in order, but resets those with data that it has not read, as TCP demands. A server may also be set up to reset them all, so
- * resets tell this only in pools whose runners have been seen to close others in order.
+ * Whether the end of the runner counts against the request: it has not been cleared of it, no host had seen the request answered shortly before,
+ * and the runner had read it. A process that ends closes its connections in order, but resets those with data that it has not read, as TCP
+ * demands. A server may also be set up to reset them all, so resets tell this only in pools whose runners have been seen to close others in order.
  */
 bool CrashHistory::counts(const Request &request, const TargetIncarnation &incarnation, const Crash &crash) const
 {
     const bool unread = crash.unread && m_orderlyPools.contains(crash.pool);
-    return !unread && !request.cleared.contains(incarnation);
+    const bool completed
+        = request.completedAt > std::chrono::milliseconds(0)
+          && m_ends.at(incarnation).detectedAt <= request.completedAt + std::chrono::duration_cast<std::chrono::milliseconds>(m_policy.completionWindow);
+    return !unread && !completed && !request.cleared.contains(incarnation);
 }
 
 /**
--- a/fulmarlink/crashwatch.cpp
+++ b/fulmarlink/crashwatch.cpp
@@ -315,6 +315,7 @@
     for (CrashRecord &clearance : m_state.crashes.takeClearances()) {
         CrashRecord record = newRecord(CrashRecordKind::Cleared, "cleared." + clearance.suspects.front().fingerprint.text());
         record.incarnations = std::move(clearance.incarnations);
+        record.completionAge = clearance.completionAge;
         record.suspects = std::move(clearance.suspects);
         enqueue(record);
         apply(std::move(record));
--- a/testing/crashcomparison_test.cpp
+++ b/testing/crashcomparison_test.cpp
@@ -332,4 +332,51 @@
     }
 }
 
+// Guards against a request of many callers that is banned on hosts that have not had an answer to it, though others are answered all the time:
+// what another host had cleared it of were only the ends that had happened by then.
+TEST_F(CrashComparisonTest, CompletionAtAnotherHostSpeaksForTheRequestAsLongAsOneHere)
+{
+    endRunners(0ms, {unanswered(1, 300ms), unanswered(1, 300ms)});
+    CrashRecord cleared;
+    cleared.name = "cleared";
+    cleared.kind = CrashRecordKind::Cleared;
+    cleared.host = "entry-2";
+    cleared.writtenAt = 2000ms;
+    cleared.completionAge = 1900ms;
+    cleared.incarnations = {incarnation(1), incarnation(2)};
+    cleared.suspects.push_back(unanswered(1, 0ms));
+    history.add(cleared, at(2000ms));
+    endRunners(2300ms, {unanswered(1, 300ms), unanswered(1, 300ms), unanswered(1, 300ms)});
+    EXPECT_EQ(verdict(2300ms), CrashVerdict::Clear);
+    endRunners(100ms + std::chrono::duration_cast<std::chrono::milliseconds>(CrashPolicy().completionWindow) + 1ms,
+               {unanswered(1, 300ms), unanswered(1, 300ms), unanswered(1, 300ms)});
+    EXPECT_EQ(verdict(11s), CrashVerdict::Banned) << "the answer is too long ago";
+}
+
+// An operator's release says nothing of later ends.
+TEST_F(CrashComparisonTest, ReleaseWithoutACompletionClearsOnlyWhatItNames)
+{
+    endRunners(0ms, {unanswered(1, 300ms), unanswered(1, 300ms), unanswered(1, 300ms)});
+    CrashRecord cleared;
+    cleared.name = "cleared";
+    cleared.kind = CrashRecordKind::Cleared;
+    cleared.host = "operator";
+    cleared.writtenAt = 100ms;
+    cleared.incarnations = {incarnation(1), incarnation(2), incarnation(3)};
+    cleared.suspects.push_back(unanswered(1, 0ms));
+    history.add(cleared, at(100ms));
+    EXPECT_EQ(verdict(200ms), CrashVerdict::Clear);
+    endRunners(300ms, {unanswered(1, 300ms), unanswered(1, 300ms), unanswered(1, 300ms)});
+    EXPECT_EQ(verdict(400ms), CrashVerdict::Banned);
+}
+
+TEST_F(CrashComparisonTest, ClearanceCarriesTheAgeOfTheCompletion)
+{
+    history.requestCompleted(RequestFingerprint{1, 2, 1}, at(0ms));
+    endRunners(700ms, {unanswered(1, 300ms), unanswered(1, 300ms)});
+    const std::vector<CrashRecord> clearances = history.takeClearances();
+    ASSERT_EQ(clearances.size(), 1U);
+    EXPECT_EQ(clearances.front().completionAge, 700ms);
+}
+
 } // namespace fulmarlink::testing
--- a/testing/platformcodec_test.cpp
+++ b/testing/platformcodec_test.cpp
@@ -73,10 +73,14 @@
     record.name = "crash.i-1.7.entry-1.5-0";
     record.host = "entry-1";
     record.writtenAt = std::chrono::milliseconds(5);
+    record.pool = "pool";
+    record.completionAge = std::chrono::milliseconds(0);
     record.incarnations.push_back({"i-1", 7});
     CrashSuspect suspect{RequestFingerprint{1, 2, 3}, "customer", "route", true};
     suspect.unanswered = true;
     suspect.unlikely = true;
+    suspect.unread = true;
+    suspect.closedInOrder = true;
     suspect.exposure = std::chrono::milliseconds(250);
     suspect.survivors = {{"i-2", 8}, {"i-3", 9}};
     record.suspects.push_back(suspect);
@@ -88,6 +92,10 @@
     EXPECT_TRUE(result.answerStarted);
     EXPECT_TRUE(result.unanswered);
     EXPECT_TRUE(result.unlikely);
+    EXPECT_TRUE(result.unread);
+    EXPECT_TRUE(result.closedInOrder);
+    EXPECT_EQ(decoded->pool, record.pool);
+    EXPECT_EQ(decoded->completionAge, record.completionAge);
     EXPECT_EQ(result.exposure, suspect.exposure);
     EXPECT_EQ(result.survivors, suspect.survivors);
 }
@@ -103,6 +111,10 @@
     EXPECT_EQ(decoded->suspects.front().exposure.count(), 0);
     EXPECT_TRUE(decoded->suspects.front().survivors.empty());
     EXPECT_FALSE(decoded->suspects.front().unanswered);
+    EXPECT_FALSE(decoded->suspects.front().unread);
+    EXPECT_FALSE(decoded->suspects.front().closedInOrder);
+    EXPECT_TRUE(decoded->pool.empty());
+    EXPECT_FALSE(decoded->completionAge);
 }
 
 TEST(PlatformCodec, RejectsMalformedRunnerEntry)
