--- /dev/null
+++ b/fulmarlink/connectionend.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+
+namespace fulmarlink
+{
+
+/** How the connection of an attempt ended before its answer was complete. */
+enum class ConnectionEnd : std::uint8_t {
+    Open, ///< it has not; or this host closed it
+    InOrder, ///< the runner closed it, and had read all of the request
+    Reset, ///< by the runner or the network
+    Failed, ///< it broke in another way
+};
+
+} // namespace fulmarlink
--- a/fulmarlink/gatewayattempt.cpp
+++ b/fulmarlink/gatewayattempt.cpp
@@ -151,22 +151,28 @@
     co_return end;
 }
 
-/** Waits for the answers to the overdue attempts until one is answered, or none is left. For when the request is not sent again. */
+/** Whether an overdue attempt has been answered or lost. */
+bool GatewayExchange::overdueReadable() const
+{
+    return std::ranges::any_of(m_overdue, [](const OpenAttempt &overdue) {
+        return overdue.connection->hasInput();
+    });
+}
+
+/** Waits for the answer to an overdue attempt, or its loss. */
 asio::awaitable<AttemptEnd> GatewayExchange::awaitOverdue()
 {
-    AttemptEnd end = AttemptEnd::Overdue;
-    while (!m_overdue.empty() && !m_callerGone && end != AttemptEnd::Answered && end != AttemptEnd::Failed) {
-        m_current = std::move(m_overdue.back());
-        m_overdue.pop_back();
-        m_group = m_current.group;
-        std::exception_ptr error;
-        try {
-            end = co_await awaitAnswer(timeLeft());
-        } catch (...) {
-            error = std::current_exception();
-        }
-        closeCurrent(end, error);
+    m_current = std::move(m_overdue.back());
+    m_overdue.pop_back();
+    m_group = m_current.group;
+    AttemptEnd end = AttemptEnd::Broken;
+    std::exception_ptr error;
+    try {
+        end = co_await awaitAnswer(timeLeft());
+    } catch (...) {
+        error = std::current_exception();
     }
+    closeCurrent(end, error);
     co_return end;
 }
 
@@ -197,9 +203,10 @@
 {
     const TimePoint now = m_state.clock.now();
     for (const OpenAttempt &overdue : m_overdue) {
+        const RunnerAttempts::Outcome outcome = brokenOutcome(overdue.connection->takeEnd(), overdue.requestBytes, false);
         overdue.connection->stream.close();
         m_state.targets.requestEnded(overdue.target.id);
-        m_state.attempts.recordEnd(overdue.token, m_callerGone ? RunnerAttempts::Outcome::Resolved : RunnerAttempts::Outcome::Broken, now);
+        m_state.attempts.recordEnd(overdue.token, m_callerGone ? RunnerAttempts::Outcome::Resolved : outcome, now);
         m_targetIds += (m_targetIds.empty() ? "" : ",") + overdue.target.id;
         logAttemptEnd(overdue, "overdue");
     }
--- a/fulmarlink/gatewaycrashes.cpp
+++ b/fulmarlink/gatewaycrashes.cpp
@@ -75,12 +75,11 @@
     return m_state.crashes.status(m_fingerprint, now).crashes + static_cast<unsigned>(unresolved) + static_cast<unsigned>(unreachable);
 }
 
-/** The outcome of the last attempt, which brought no complete answer. */
-RunnerAttempts::Outcome GatewayExchange::lostOutcome() const
+/** The outcome of an attempt without a complete answer, whose request had @p requestBytes. */
+RunnerAttempts::Outcome GatewayExchange::brokenOutcome(ConnectionEnd connectionEnd, std::size_t requestBytes, bool answerStarted)
 {
-    const bool answerStarted = m_events.events() > m_eventsBefore;
-    const bool readAtOnce = m_current.requestBytes <= kMaxSingleReadBytes;
-    switch (m_connectionEnd) {
+    const bool readAtOnce = requestBytes <= kMaxSingleReadBytes;
+    switch (connectionEnd) {
     case ConnectionEnd::Open:
         return RunnerAttempts::Outcome::Broken;
     case ConnectionEnd::InOrder:
@@ -99,7 +98,8 @@
     const TargetInfo target = m_current.target;
     const TimePoint now = m_state.clock.now();
     const bool broken = end == AttemptEnd::Broken && !m_callerGone;
-    const RunnerAttempts::Outcome outcome = broken ? lostOutcome() : RunnerAttempts::Outcome::Resolved;
+    const bool answerStarted = m_events.events() > m_eventsBefore;
+    const RunnerAttempts::Outcome outcome = broken ? brokenOutcome(m_connectionEnd, m_current.requestBytes, answerStarted) : RunnerAttempts::Outcome::Resolved;
     const bool reported = m_state.attempts.recordEnd(m_current.token, outcome, now);
     if (end == AttemptEnd::Answered || end == AttemptEnd::Failed) {
         m_state.crashes.requestCompleted(m_fingerprint, now);
@@ -109,14 +109,14 @@
     }
     m_brokenAttempts.push_back(m_current.token);
     if (m_connectionEnd != ConnectionEnd::Open) {
-        if (reported && m_events.events() == m_eventsBefore) {
+        if (reported && !answerStarted) {
             CrashSuspect suspect = crashSuspect();
             suspect.unread = outcome == RunnerAttempts::Outcome::LostUnread;
             suspect.closedInOrder = outcome == RunnerAttempts::Outcome::LostInOrder;
             m_state.crashWatch->suspectLost({target.id, target.born}, std::move(suspect));
         }
         const RunnerProbe probe = co_await m_state.crashWatch->probe(target);
-        m_runnerEnded = probe != RunnerProbe::Accepts && m_events.events() == m_eventsBefore;
+        m_runnerEnded = probe != RunnerProbe::Accepts && !answerStarted;
         if (probe == RunnerProbe::Accepts) {
             m_state.attempts.markAccepting(m_current.token);
         }
--- a/fulmarlink/gatewayexchange.cpp
+++ b/fulmarlink/gatewayexchange.cpp
@@ -300,6 +300,11 @@
     AttemptEnd end = AttemptEnd::NotSent;
     NextStep step = NextStep::Again;
     while (step == NextStep::Again) {
+        if (overdueReadable()) {
+            end = co_await awaitOverdue();
+            step = nextStep(attemptState(end));
+            continue;
+        }
         std::optional<TargetInfo> target;
         if (m_answerBegun) {
             target = co_await targetToResume();
@@ -312,6 +317,9 @@
         if (m_callerGone) {
             co_return;
         }
+        if (!target && overdueReadable()) {
+            continue;
+        }
         const bool repeat = m_sends > 0;
         if (!target || !mayRetry() || (repeat && !takeRetry(end))) {
             m_reason += !target ? " no-runner" : repeat ? " budget" : "";
@@ -324,7 +332,7 @@
         }
         step = nextStep(attemptState(end));
     }
-    if (step == NextStep::Unknown && !m_overdue.empty()) {
+    while (step == NextStep::Unknown && !m_overdue.empty() && !m_callerGone) {
         end = co_await awaitOverdue();
         step = end == AttemptEnd::Answered ? NextStep::Deliver : giveUp(attemptState(end));
     }
--- a/fulmarlink/gatewayexchange.h
+++ b/fulmarlink/gatewayexchange.h
@@ -77,8 +77,9 @@
     boost::asio::awaitable<void> setCurrentOverdue();
     void closeCurrent(AttemptEnd end, const std::exception_ptr &error);
     void closeOverdue();
-    RunnerAttempts::Outcome lostOutcome() const;
+    static RunnerAttempts::Outcome brokenOutcome(ConnectionEnd connectionEnd, std::size_t requestBytes, bool answerStarted);
     bool keepsOverdueAttempts() const;
+    bool overdueReadable() const;
     RunnerExclusion reserveSendTo(const TargetInfo &target);
     boost::asio::awaitable<bool> write(TargetConnection &connection, const TargetInfo &target);
     boost::asio::awaitable<AttemptEnd> readAnswer(TargetConnection &connection, const TargetInfo &target);
--- a/fulmarlink/gatewaytargets.cpp
+++ b/fulmarlink/gatewaytargets.cpp
@@ -77,7 +77,8 @@
     const TimePoint began = m_state.clock.now();
     m_state.refreshTargets();
     std::optional<TargetInfo> target;
-    while (!target && !m_callerGone && m_state.targetsListedAt <= began && m_state.clock.now() - began < kListTimeout && timeLeft() > kMinTimeToSend) {
+    while (!target && !m_callerGone && !overdueReadable() && m_state.targetsListedAt <= began && m_state.clock.now() - began < kListTimeout
+           && timeLeft() > kMinTimeToSend) {
         co_await pauseBeforeRetry(kListPollInterval);
         if (forgetRestartedTargets()) {
             target = nextTarget();
--- a/fulmarlink/openattempt.h
+++ b/fulmarlink/openattempt.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -14,14 +13,6 @@
 
 struct TargetConnection;
 
-/** How the connection of an attempt ended before its answer was complete. */
-enum class ConnectionEnd : std::uint8_t {
-    Open, ///< this host closed it
-    InOrder, ///< the runner closed it, and had read all of the request
-    Reset, ///< by the runner or the network
-    Failed, ///< it broke in another way
-};
-
 /** One send of an exchange's request to a runner, from the choice of the runner until its answer has been read or the connection has been closed. */
 struct OpenAttempt {
     TargetInfo target;
--- a/fulmarlink/targetconnections.cpp
+++ b/fulmarlink/targetconnections.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <cerrno>
 #include <poll.h>
+#include <sys/socket.h>
 
 #include "fulmarlink/httpconnection.h"
 
@@ -29,6 +31,16 @@
     return buffer.size() > 0 || ::poll(&descriptor, 1, 0) != 0;
 }
 
+ConnectionEnd TargetConnection::takeEnd()
+{
+    char byte = 0;
+    const auto received = recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (received == 0) {
+        return ConnectionEnd::InOrder;
+    }
+    return received < 0 && errno == ECONNRESET ? ConnectionEnd::Reset : ConnectionEnd::Open;
+}
+
 bool TargetConnections::isReusable(TargetConnection &connection) const
 {
     return m_clock.now() - connection.idleSince < connection.idleLimit && !connection.hasInput();
--- a/fulmarlink/targetconnections.h
+++ b/fulmarlink/targetconnections.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "fulmarlink/clock.h"
+#include "fulmarlink/connectionend.h"
 #include "fulmarlink/counters.h"
 #include "fulmarlink/targettable.h"
 
@@ -25,6 +26,8 @@
 
     /** Whether a read would not block: there are bytes, or the connection has ended. */
     bool hasInput();
+    /** How the other side has ended the connection, if no bytes are left to be read before the end. Call it last: it takes the error of a reset. */
+    ConnectionEnd takeEnd();
 
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
