Crash watch: attempts whose deadline has passed tell what becomes of them

The runner stops at the deadline by itself. Connections of callers that leave are closed at once as before.

--- a/fulmarlink/crashwatch.cpp
+++ b/fulmarlink/crashwatch.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <iterator>
 
+#include "fulmarlink/awaitreadable.h"
 #include "fulmarlink/limitwatch.h"
 #include "fulmarlink/log.h"
 #include "fulmarlink/platform.h"
@@ -36,6 +37,7 @@
 constexpr Duration kStoreRetry = std::chrono::milliseconds(250); ///< as for the other reads of the store
 constexpr std::size_t kMaxQueue = 64; ///< records; a host sees fewer runners end during a store outage
 constexpr std::size_t kMaxSuspects = 64; ///< per record; a runner has some dozen requests in progress, a few of them from one host
+constexpr std::size_t kMaxExpired = 64; ///< connections; some of each runner's are left to requests
 constexpr std::size_t kMaxEnded = 256; ///< incarnations already handled; a runner's old connections break off within seconds of its end
 constexpr Duration kExpiryInterval = std::chrono::minutes(1);
 
@@ -226,6 +228,30 @@
     }
 }
 
+bool CrashWatch::watchExpired(const OpenAttempt &attempt)
+{
+    if (m_expired >= kMaxExpired) {
+        return false;
+    }
+    ++m_expired;
+    asio::co_spawn(m_context, awaitExpired(attempt), asio::detached);
+    return true;
+}
+
+asio::awaitable<void> CrashWatch::awaitExpired(OpenAttempt attempt)
+{
+    std::vector<std::shared_ptr<TargetConnection>> connections(1, attempt.connection);
+    const std::optional<std::size_t> readable = co_await awaitReadable(std::move(connections), RunnerAttempts::kRetention);
+    if (readable) {
+        const ConnectionEnd end = attempt.connection->takeEnd();
+        const bool answered = end == ConnectionEnd::Open;
+        const RunnerAttempts::Outcome outcome = answered ? RunnerAttempts::Outcome::Resolved : RunnerAttempts::brokenOutcome(end, attempt.requestBytes, false);
+        m_state.attempts.updateEnd(attempt.token, outcome, m_state.clock.now());
+    }
+    attempt.connection->stream.close();
+    --m_expired;
+}
+
 void CrashWatch::runnerAnswered(const TargetIncarnation &incarnation)
 {
     m_state.attempts.recordAnswer(incarnation);
--- a/fulmarlink/crashwatch.h
+++ b/fulmarlink/crashwatch.h
@@ -12,6 +12,7 @@
 #include "fulmarlink/counters.h"
 #include "fulmarlink/crashrecord.h"
 #include "fulmarlink/gatewaystate.h"
+#include "fulmarlink/openattempt.h"
 
 namespace fulmarlink
 {
@@ -67,12 +68,18 @@
      * A suspect that was in progress when its runner was found to have ended has lost its connection without an event: adds that to the record.
      */
     void suspectLost(const TargetIncarnation &incarnation, CrashSuspect suspect);
+    /**
+     * Takes over the connection of an attempt whose deadline has passed without an answer, for as long as the attempt may become a suspect: its
+     * answer, or the way in which the runner ends it, tells what became of the attempt. False if there are too many.
+     */
+    bool watchExpired(const OpenAttempt &attempt);
     /** Claims the next trial of a request that is held back; true on one host only. */
     boost::asio::awaitable<bool> claimTrial(CrashSuspect suspect);
 
 private:
     boost::asio::awaitable<RunnerProbe> connect(const TargetInfo &target);
     boost::asio::awaitable<void> confirmEnded(TargetInfo target);
+    boost::asio::awaitable<void> awaitExpired(OpenAttempt attempt);
     boost::asio::awaitable<void> sleep(Duration duration);
     void handleEnded(const TargetIncarnation &incarnation, std::string_view evidence);
     void recordCrash(const TargetIncarnation &incarnation, std::vector<CrashSuspect> suspects);
@@ -94,6 +101,7 @@
     std::set<TargetIncarnation> m_unconfirmed; ///< seem to have ended; being confirmed
     std::set<TargetIncarnation> m_ended; ///< the latest kMaxEnded
     std::deque<TargetIncarnation> m_endedOrder; ///< m_ended, oldest first
+    std::size_t m_expired = 0; ///< attempts taken over by watchExpired()
     std::uint64_t m_enqueued = 0; ///< records so far; makes their names unique
     bool m_readable = false; ///< the last read of records succeeded
     bool m_writable = true; ///< the last write of a record succeeded
--- a/fulmarlink/gatewayattempt.cpp
+++ b/fulmarlink/gatewayattempt.cpp
@@ -133,7 +133,7 @@
             connections.push_back(overdue.connection);
         }
         const std::optional<std::size_t> readable = co_await awaitReadable(std::move(connections), timeout);
-        if (!readable && !m_callerGone && timeLeft() > kMinTimeToSend) {
+        if (!readable && !m_callerGone) {
             co_await setCurrentOverdue();
             co_return AttemptEnd::Overdue;
         }
@@ -182,7 +182,7 @@
     m_reason = "overdue";
     m_state.targets.requestFailed(m_current.target.id, m_state.clock.now());
     m_current.runnerLives = m_state.targets.lastReceived(m_current.target.id) > m_current.sentAt;
-    if (!m_current.runnerLives) {
+    if (!m_current.runnerLives && timeLeft() > kMinTimeToSend) {
         const RunnerProbe probe = co_await m_state.crashWatch->probe(m_current.target);
         m_current.runnerLives = probe == RunnerProbe::Accepts;
     }
@@ -198,15 +198,19 @@
     m_current = {};
 }
 
-/** Closes the connections of the attempts that are still open when the exchange ends, so that their runners stop. */
+/**
+ * Ends the attempts that are still open when the exchange ends. Their connections are closed, so that their runners stop; only if the deadline
+ * has passed, at which runners stop by themselves, they stay open to tell what becomes of the attempt.
+ */
 void GatewayExchange::closeOverdue()
 {
     const TimePoint now = m_state.clock.now();
     for (const OpenAttempt &overdue : m_overdue) {
-        const RunnerAttempts::Outcome outcome = brokenOutcome(overdue.connection->takeEnd(), overdue.requestBytes, false);
-        overdue.connection->stream.close();
         m_state.targets.requestEnded(overdue.target.id);
-        m_state.attempts.recordEnd(overdue.token, m_callerGone ? RunnerAttempts::Outcome::Resolved : outcome, now);
+        m_state.attempts.recordEnd(overdue.token, m_callerGone ? RunnerAttempts::Outcome::Resolved : RunnerAttempts::Outcome::Broken, now);
+        if (m_callerGone || timeLeft() > kMinTimeToSend || !m_state.crashWatch->watchExpired(overdue)) {
+            overdue.connection->stream.close();
+        }
         m_targetIds += (m_targetIds.empty() ? "" : ",") + overdue.target.id;
         logAttemptEnd(overdue, "overdue");
     }
--- a/fulmarlink/gatewaycrashes.cpp
+++ b/fulmarlink/gatewaycrashes.cpp
@@ -14,14 +14,6 @@
 
 namespace asio = boost::asio;
 
-namespace
-{
-
-/** Common servers read at least so much at once. Of a longer request a runner may have read a part. */
-constexpr std::size_t kMaxSingleReadBytes = 512;
-
-} // namespace
-
 RequestFingerprint GatewayExchange::fingerprint() const
 {
     const auto target = m_request.target();
@@ -75,23 +67,6 @@
     return m_state.crashes.status(m_fingerprint, now).crashes + static_cast<unsigned>(unresolved) + static_cast<unsigned>(unreachable);
 }
 
-/** The outcome of an attempt without a complete answer, whose request had @p requestBytes. */
-RunnerAttempts::Outcome GatewayExchange::brokenOutcome(ConnectionEnd connectionEnd, std::size_t requestBytes, bool answerStarted)
-{
-    const bool readAtOnce = requestBytes <= kMaxSingleReadBytes;
-    switch (connectionEnd) {
-    case ConnectionEnd::Open:
-        return RunnerAttempts::Outcome::Broken;
-    case ConnectionEnd::InOrder:
-        return RunnerAttempts::Outcome::LostInOrder;
-    case ConnectionEnd::Reset:
-        return readAtOnce && !answerStarted ? RunnerAttempts::Outcome::LostUnread : RunnerAttempts::Outcome::Lost;
-    case ConnectionEnd::Failed:
-        return RunnerAttempts::Outcome::Lost;
-    }
-    return RunnerAttempts::Outcome::Lost;
-}
-
 /** Records the end of the attempt: in the runner's attempts, for the request's crash status, and, if the connection broke off, whether the runner ended. */
 asio::awaitable<void> GatewayExchange::recordCrashEvidence(AttemptEnd end)
 {
@@ -99,7 +74,8 @@
     const TimePoint now = m_state.clock.now();
     const bool broken = end == AttemptEnd::Broken && !m_callerGone;
     const bool answerStarted = m_events.events() > m_eventsBefore;
-    const RunnerAttempts::Outcome outcome = broken ? brokenOutcome(m_connectionEnd, m_current.requestBytes, answerStarted) : RunnerAttempts::Outcome::Resolved;
+    const RunnerAttempts::Outcome outcome
+        = broken ? RunnerAttempts::brokenOutcome(m_connectionEnd, m_current.requestBytes, answerStarted) : RunnerAttempts::Outcome::Resolved;
     const bool reported = m_state.attempts.recordEnd(m_current.token, outcome, now);
     if (end == AttemptEnd::Answered || end == AttemptEnd::Failed) {
         m_state.crashes.requestCompleted(m_fingerprint, now);
--- a/fulmarlink/gatewayexchange.cpp
+++ b/fulmarlink/gatewayexchange.cpp
@@ -332,7 +332,7 @@
         }
         step = nextStep(attemptState(end));
     }
-    while (step == NextStep::Unknown && !m_overdue.empty() && !m_callerGone) {
+    while (step == NextStep::Unknown && !m_overdue.empty() && !m_callerGone && timeLeft() > kMinTimeToSend) {
         end = co_await awaitOverdue();
         step = end == AttemptEnd::Answered ? NextStep::Deliver : giveUp(attemptState(end));
     }
--- a/fulmarlink/gatewayexchange.h
+++ b/fulmarlink/gatewayexchange.h
@@ -77,7 +77,6 @@
     boost::asio::awaitable<void> setCurrentOverdue();
     void closeCurrent(AttemptEnd end, const std::exception_ptr &error);
     void closeOverdue();
-    static RunnerAttempts::Outcome brokenOutcome(ConnectionEnd connectionEnd, std::size_t requestBytes, bool answerStarted);
     bool keepsOverdueAttempts() const;
     bool overdueReadable() const;
     RunnerExclusion reserveSendTo(const TargetInfo &target);
--- a/fulmarlink/runnerattempts.cpp
+++ b/fulmarlink/runnerattempts.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr std::chrono::milliseconds kMinExposure{1}; ///< of an attempt whose times are known; 0 stands for unknown
+constexpr std::size_t kMaxSingleReadBytes = 512; ///< common servers read at least so much at once; of a longer request a runner may have read a part
 constexpr std::size_t kMaxSurvivors = 16; ///< per suspect; bounds the size of a record
 
 } // namespace
@@ -38,6 +39,22 @@
     return suspects;
 }
 
+RunnerAttempts::Outcome RunnerAttempts::brokenOutcome(ConnectionEnd connectionEnd, std::size_t requestBytes, bool answerStarted)
+{
+    const bool readAtOnce = requestBytes <= kMaxSingleReadBytes;
+    switch (connectionEnd) {
+    case ConnectionEnd::Open:
+        return Outcome::Broken;
+    case ConnectionEnd::InOrder:
+        return Outcome::LostInOrder;
+    case ConnectionEnd::Reset:
+        return readAtOnce && !answerStarted ? Outcome::LostUnread : Outcome::Lost;
+    case ConnectionEnd::Failed:
+        return Outcome::Lost;
+    }
+    return Outcome::Lost;
+}
+
 RunnerAttempts::Token RunnerAttempts::add(const TargetIncarnation &incarnation, CrashSuspect suspect, std::optional<Start> start)
 {
     Attempt attempt{incarnation, std::move(suspect)};
@@ -127,15 +144,33 @@
         m_attempts.erase(it);
     } else {
         it->second.inProgress = false;
-        it->second.suspect.state = outcome == Outcome::Broken ? SuspectState::GivenUp : SuspectState::Lost;
-        it->second.suspect.unread = outcome == Outcome::LostUnread;
-        it->second.suspect.closedInOrder = outcome == Outcome::LostInOrder;
-        it->second.endedAt = now;
+        setOutcome(it->second, outcome, now);
     }
     removeExpired(now);
     return reported;
 }
 
+void RunnerAttempts::setOutcome(Attempt &attempt, Outcome outcome, TimePoint now)
+{
+    attempt.suspect.state = outcome == Outcome::Broken ? SuspectState::GivenUp : SuspectState::Lost;
+    attempt.suspect.unread = outcome == Outcome::LostUnread;
+    attempt.suspect.closedInOrder = outcome == Outcome::LostInOrder;
+    attempt.endedAt = now;
+}
+
+void RunnerAttempts::updateEnd(Token token, Outcome outcome, TimePoint now)
+{
+    const auto it = m_attempts.find(token);
+    if (it == m_attempts.end() || it->second.inProgress) {
+        return;
+    }
+    if (outcome == Outcome::Resolved) {
+        it->second.suspect.state = SuspectState::Survived;
+    } else if (outcome != Outcome::Broken) {
+        setOutcome(it->second, outcome, now);
+    }
+}
+
 void RunnerAttempts::removeExpired(TimePoint now)
 {
     std::erase_if(m_attempts, [now](const auto &entry) {
--- a/fulmarlink/runnerattempts.h
+++ b/fulmarlink/runnerattempts.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -7,6 +8,7 @@
 #include <vector>
 
 #include "fulmarlink/clock.h"
+#include "fulmarlink/connectionend.h"
 #include "fulmarlink/crashrecord.h"
 
 namespace fulmarlink
@@ -49,6 +51,9 @@
         bool hasSlot = false; ///< the runner had room to begin it at once
     };
 
+    /** The outcome of an attempt without a complete answer, whose request had @p requestBytes. */
+    static Outcome brokenOutcome(ConnectionEnd connectionEnd, std::size_t requestBytes, bool answerStarted);
+
     /** Without @p start the exposure of the suspect is unknown. */
     Token add(const TargetIncarnation &incarnation, CrashSuspect suspect, std::optional<Start> start = std::nullopt);
     /** Call when an event of the answer arrives. */
@@ -57,6 +62,8 @@
     void recordAnswer(const TargetIncarnation &incarnation);
     /** Returns true if takeSuspects() has returned the attempt while it was in progress. */
     bool recordEnd(Token token, Outcome outcome, TimePoint now);
+    /** Call when the connection of a given-up attempt shows what became of it: lost, or with Outcome::Resolved answered after all. */
+    void updateEnd(Token token, Outcome outcome, TimePoint now);
     /** The runner accepts new connections after it has lost that of the attempt, which counts as given up from now on. */
     void markAccepting(Token token);
     /** Number of these attempts that have been lost or given up, and of which it is not known yet whether their runner ended. */
@@ -87,6 +94,7 @@
 
     std::vector<CrashSuspect> take(const TargetIncarnation &incarnation, bool survived, TimePoint now);
     std::chrono::milliseconds exposureOf(const Attempt &attempt, TimePoint now) const;
+    static void setOutcome(Attempt &attempt, Outcome outcome, TimePoint now);
     void removeExpired(TimePoint now);
 
     std::map<Token, Attempt> m_attempts;
