Crash history: copies that were read tell the same beside unread ones

Evidence of the copies that were read is kept apart from that of all. UnreadRequests.UnreadCopiesLeaveWhatOtherCopiesTellAsItIs guards it.

--- a/fulmarlink/crashhistory.cpp
+++ b/fulmarlink/crashhistory.cpp
@@ -65,6 +65,15 @@
     return true;
 }
 
+void CrashHistory::Evidence::add(const CrashSuspect &suspect)
+{
+    any = true;
+    answerStarted = answerStarted && suspect.answerStarted;
+    unanswered = unanswered && suspect.unanswered;
+    unlikely = unlikely && suspect.unlikely;
+    exposure = std::max(exposure, suspect.exposure);
+}
+
 void CrashHistory::index(const CrashRecord &record, TimePoint receivedAt)
 {
     for (const CrashSuspect &suspect : record.suspects) {
@@ -89,12 +98,11 @@
             }
             const TargetIncarnation counted = mutated(Mutation::CountReports) ? TargetIncarnation{record.name, 0} : incarnation;
             const auto [it, added] = request.crashes.try_emplace(counted, Crash{receivedAt});
-            it->second.answerStarted = it->second.answerStarted && suspect.answerStarted;
-            it->second.unanswered = it->second.unanswered && suspect.unanswered;
-            it->second.unlikely = it->second.unlikely && suspect.unlikely;
-            it->second.unread = it->second.unread && suspect.unread;
             it->second.pool = record.pool;
-            it->second.exposure = std::max(it->second.exposure, suspect.exposure);
+            it->second.allCopies.add(suspect);
+            if (!suspect.unread) {
+                it->second.readCopies.add(suspect);
+            }
             indexEnd(counted, record.writtenAt, true);
             m_lastEndAt = std::max(m_lastEndAt, receivedAt);
         }
--- a/fulmarlink/crashhistory.h
+++ b/fulmarlink/crashhistory.h
@@ -124,14 +124,22 @@
         bool recorded = false; ///< there is a record of it
     };
 
+    /** What several copies of a request at one incarnation tell together. */
+    struct Evidence {
+        bool any = false; ///< there is a copy
+        bool answerStarted = true; ///< of every copy
+        bool unanswered = true; ///< every copy
+        bool unlikely = true; ///< every copy
+        std::chrono::milliseconds exposure{0}; ///< longest
+
+        void add(const CrashSuspect &suspect);
+    };
+
     struct Crash {
         TimePoint receivedAt{};
-        bool answerStarted = true; ///< in every record of this incarnation
-        bool unanswered = true; ///< in every record of this incarnation
-        bool unlikely = true; ///< in every record of this incarnation
-        bool unread = true; ///< in every record of this incarnation
         std::string pool; ///< of the runner
-        std::chrono::milliseconds exposure{0}; ///< longest of all records of this incarnation
+        Evidence allCopies;
+        Evidence readCopies; ///< without those that the runner had not read, if resets tell
     };
 
     struct Request {
@@ -176,6 +184,7 @@
     Counts countCrashes(const Request &request) const;
     void judge(const Counts &counts, TimePoint now, CrashStatus &status) const;
     Duration remainingHold(TimePoint lastEvent, double chance, TimePoint now) const;
+    const Evidence &evidenceOf(const Crash &crash) const;
     bool counts(const Request &request, const TargetIncarnation &incarnation, const Crash &crash) const;
     static unsigned unclearedCrashes(const Request &request);
 
--- a/fulmarlink/crashverdicts.cpp
+++ b/fulmarlink/crashverdicts.cpp
@@ -29,17 +29,24 @@
 }
 
 /**
- * Whether the end of the runner counts against the request: it has not been cleared of it, no host had seen the request answered shortly before,
- * and the runner had read it. A process that ends closes its connections in order, but resets those with data that it has not read, as TCP
- * demands. A server may also be set up to reset them all, so resets tell this only in pools whose runners have been seen to close others in order.
+ * A process that ends closes its connections in order, but resets those with data that it has not read, as TCP demands. A server may also be set
+ * up to reset them all, so resets tell this only in pools whose runners have been seen to close others in order.
+ */
+const CrashHistory::Evidence &CrashHistory::evidenceOf(const Crash &crash) const
+{
+    return m_orderlyPools.contains(crash.pool) ? crash.readCopies : crash.allCopies;
+}
+
+/**
+ * Whether the end of the runner counts against the request: the runner had read it, no host had seen the request answered shortly before, and
+ * the request has not been cleared of it.
  */
 bool CrashHistory::counts(const Request &request, const TargetIncarnation &incarnation, const Crash &crash) const
 {
-    const bool unread = crash.unread && m_orderlyPools.contains(crash.pool);
     const bool completed
         = request.completedAt > std::chrono::milliseconds(0)
           && m_ends.at(incarnation).detectedAt <= request.completedAt + std::chrono::duration_cast<std::chrono::milliseconds>(m_policy.completionWindow);
-    return !unread && !completed && !request.cleared.contains(incarnation);
+    return evidenceOf(crash).any && !completed && !request.cleared.contains(incarnation);
 }
 
 /**
@@ -127,10 +134,11 @@
         if (!counts(request, incarnation, crash)) {
             continue;
         }
-        const double exposure = std::chrono::duration<double>(crash.exposure).count();
+        const Evidence &evidence = evidenceOf(crash);
+        const double exposure = std::chrono::duration<double>(evidence.exposure).count();
         ++all.crashes;
         all.exposure += exposure;
-        if (!crash.answerStarted) {
+        if (!evidence.answerStarted) {
             ++beforeAnswer.crashes;
             beforeAnswer.exposure += exposure;
         }
@@ -158,9 +166,10 @@
             continue;
         }
         ++result.all;
-        result.beforeAnswer += crash.answerStarted ? 0 : 1;
-        result.unanswered += crash.unanswered || !crash.answerStarted ? 1 : 0;
-        result.excused = std::max(result.excused, crash.unlikely ? m_policy.maxExcusedCrashes : 0);
+        const Evidence &evidence = evidenceOf(crash);
+        result.beforeAnswer += evidence.answerStarted ? 0 : 1;
+        result.unanswered += evidence.unanswered || !evidence.answerStarted ? 1 : 0;
+        result.excused = std::max(result.excused, evidence.unlikely ? m_policy.maxExcusedCrashes : 0);
         result.lastEvent = std::max(result.lastEvent, crash.receivedAt);
     }
     result.excused = result.beforeAnswer < m_policy.holdAfterCrashes ? result.excused : 0;
--- a/testing/unreadrequests_test.cpp
+++ b/testing/unreadrequests_test.cpp
@@ -132,6 +132,21 @@
     EXPECT_EQ(status().verdict, CrashVerdict::Banned);
 }
 
+// Guards against a request that is banned because copies of it were reset unread at a runner that had answered others since it was given up there.
+TEST_F(UnreadRequests, UnreadCopiesLeaveWhatOtherCopiesTellAsItIs)
+{
+    CrashSuspect survived = lost(1, Loss::Other);
+    survived.answerStarted = true;
+    survived.unlikely = true;
+    endRunner(9, {lost(2, Loss::InOrder)});
+    endRunner(1, {lost(1, Loss::Reset), survived});
+    EXPECT_EQ(status().crashes, 1U);
+    endRunner(2, {lost(1, Loss::Reset), survived});
+    endRunner(3, {lost(1, Loss::Reset), survived});
+    EXPECT_EQ(status().crashes, 3U);
+    EXPECT_EQ(status().chanceBeforeAnswer, 1) << "no copy was lost before its answer had begun";
+}
+
 // Guards against a request that is suspected for ends of runners that did not read it until its deadline, and not after that either.
 TEST(UnreadAttempts, GivenUpAttemptBecomesWhatItsConnectionShowsLater)
 {
