--- a/fulmarlink/crashhistory.cpp
+++ b/fulmarlink/crashhistory.cpp
@@ -186,6 +186,26 @@
     return it != m_completions.end() && now - it->second <= m_policy.completionWindow;
 }
 
+std::optional<CrashRecord> CrashHistory::takeCompleted(std::vector<CrashSuspect> &suspects, TimePoint now) const
+{
+    CrashRecord record;
+    record.kind = CrashRecordKind::Cleared;
+    record.completionAge = std::chrono::milliseconds(0);
+    for (const CrashSuspect &suspect : suspects) {
+        const bool taken = std::ranges::find(record.suspects, suspect.fingerprint, &CrashSuspect::fingerprint) != record.suspects.end();
+        if (taken || !completedRecently(suspect.fingerprint, now)) {
+            continue;
+        }
+        const Duration age = now - m_completions.at(suspect.fingerprint);
+        record.completionAge = std::max(*record.completionAge, std::chrono::duration_cast<std::chrono::milliseconds>(age));
+        record.suspects.push_back({suspect.fingerprint, suspect.customer, suspect.route, false});
+    }
+    std::erase_if(suspects, [&](const CrashSuspect &suspect) {
+        return completedRecently(suspect.fingerprint, now);
+    });
+    return record.suspects.empty() ? std::nullopt : std::optional(std::move(record));
+}
+
 /** Clears the request of all its known crashes. */
 void CrashHistory::clear(Request &request)
 {
--- a/fulmarlink/crashhistory.h
+++ b/fulmarlink/crashhistory.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -89,6 +90,11 @@
     /** A runner has answered the request, with success or failure: clears it of all earlier crashes. */
     void requestCompleted(const RequestFingerprint &fingerprint, TimePoint now);
     bool completedRecently(const RequestFingerprint &fingerprint, TimePoint now) const;
+    /**
+     * Takes those @p suspects out that have completed recently, and returns the Cleared record of them, for hosts that have copies of them at the
+     * same runner and may not have seen an answer. Nothing if there are none. The caller sets incarnation, name, host and time.
+     */
+    std::optional<CrashRecord> takeCompleted(std::vector<CrashSuspect> &suspects, TimePoint now) const;
     /**
      * Returns, once each, the Cleared records to write: of requests that this host has cleared and other hosts may hold back.
      * The caller sets name, host and time.
--- a/fulmarlink/crashwatch.cpp
+++ b/fulmarlink/crashwatch.cpp
@@ -282,9 +282,7 @@
     const TimePoint now = m_state.clock.now();
     std::vector<CrashSuspect> suspects = m_state.attempts.takeSuspects(incarnation, now);
     std::ranges::move(m_state.attempts.takeSurvived(incarnation, now), std::back_inserter(suspects));
-    std::erase_if(suspects, [&](const CrashSuspect &suspect) {
-        return m_state.crashes.completedRecently(suspect.fingerprint, now);
-    });
+    std::optional<CrashRecord> completed = m_state.crashes.takeCompleted(suspects, now);
     suspects.resize(std::min(suspects.size(), kMaxSuspects));
     if (m_ended.insert(incarnation).second) {
         m_endedOrder.push_back(incarnation);
@@ -300,6 +298,13 @@
                 {"evidence", evidence},
                 {"suspects", textOf(suspects)},
                 {"states", statesOf(suspects)}});
+    if (completed) {
+        CrashRecord record = newRecord(CrashRecordKind::Cleared, "cleared." + incarnation.id + '.' + std::to_string(incarnation.born));
+        record.incarnations.push_back(incarnation);
+        record.suspects = std::move(completed->suspects);
+        record.completionAge = completed->completionAge;
+        enqueue(std::move(record));
+    }
     if (suspects.empty()) {
         return;
     }
--- a/testing/crashhistory_test.cpp
+++ b/testing/crashhistory_test.cpp
@@ -194,6 +194,23 @@
     EXPECT_GT(history.droppedRecords(), 400U);
 }
 
+// Guards against hosts that learn only from the third record on that a request is answered elsewhere, after they have banned it.
+TEST(CrashHistory, CompletedSuspectsOfAnEndArePublishedAtOnce)
+{
+    CrashHistory history;
+    history.requestCompleted(kCrashing, at(0ms));
+    std::vector<CrashSuspect> suspects{suspect(1), suspect(2), suspect(1)};
+    const auto record = history.takeCompleted(suspects, at(300ms));
+    ASSERT_TRUE(record);
+    EXPECT_EQ(record->kind, CrashRecordKind::Cleared);
+    EXPECT_EQ(record->completionAge, 300ms);
+    ASSERT_EQ(record->suspects.size(), 1U);
+    EXPECT_EQ(record->suspects.front().fingerprint, kCrashing);
+    ASSERT_EQ(suspects.size(), 1U);
+    EXPECT_EQ(suspects.front().fingerprint, suspect(2).fingerprint);
+    EXPECT_FALSE(history.takeCompleted(suspects, at(300ms)));
+}
+
 TEST(CrashHistory, CompletionMemoryIsBounded)
 {
     CrashPolicy policy;
