Lines on requests and on ended runners tell the shared segments of the prompts

The timeline of the incident can't tell whether the requests under which runners ended have a part of their prompts in common, nor whether others with it were answered. The ids of all segments but the last are read from the caller's request (16 at most, hexadecimal, 64 bytes) and stand in the lines request, attempt-ended and runner-ended. Nothing is decided by them.

--- a/fulmarlink/crashrecord.cpp
+++ b/fulmarlink/crashrecord.cpp
@@ -1,5 +1,7 @@
 #include "fulmarlink/crashrecord.h"
 
+#include "fulmarlink/log.h"
+
 namespace fulmarlink
 {
 
@@ -22,6 +24,15 @@
     return result;
 }
 
+std::string segmentsOf(std::span<const CrashSuspect> suspects)
+{
+    std::vector<std::string> texts;
+    for (const CrashSuspect &suspect : suspects) {
+        texts.push_back(joined(suspect.segments, "+"));
+    }
+    return joined(texts);
+}
+
 std::string textOf(std::span<const TargetIncarnation> incarnations)
 {
     std::string result;
--- a/fulmarlink/crashrecord.h
+++ b/fulmarlink/crashrecord.h
@@ -46,6 +46,7 @@
     SuspectState state = SuspectState::InProgress; ///< for this host's log; not part of the record
     std::chrono::milliseconds exposure{0}; ///< how long the runner had the request before it ended; 0: unknown, as in records of earlier versions
     std::vector<TargetIncarnation> survivors{}; ///< other runners that had the request at least as long and had not ended
+    std::vector<std::string> segments{}; ///< ids of the segments of its prompt that other requests may share
 };
 
 enum class CrashRecordKind : std::uint8_t {
@@ -74,6 +75,8 @@
 /** Lists for log lines, separated by commas: the fingerprints, what had become of each attempt, the runners and their starts. */
 std::string textOf(std::span<const CrashSuspect> suspects);
 std::string statesOf(std::span<const CrashSuspect> suspects);
+/** The shared segments of each suspect's prompt, joined by '+'. */
+std::string segmentsOf(std::span<const CrashSuspect> suspects);
 std::string textOf(std::span<const TargetIncarnation> incarnations);
 
 } // namespace fulmarlink
--- a/fulmarlink/crashwatch.cpp
+++ b/fulmarlink/crashwatch.cpp
@@ -203,6 +203,7 @@
                 {"born", std::to_string(incarnation.born)},
                 {"evidence", evidence},
                 {"suspects", textOf(suspects)},
+                {"segments", segmentsOf(suspects)},
                 {"states", statesOf(suspects)}});
     if (completed) {
         CrashRecord record = newRecord(CrashRecordKind::Cleared, "cleared." + incarnation.id + '.' + std::to_string(incarnation.born));
--- a/fulmarlink/gatewayanswer.cpp
+++ b/fulmarlink/gatewayanswer.cpp
@@ -110,6 +110,7 @@
     logRequest("request",
                {{"id", m_callerRequest.attemptId},
                 {"fingerprint", m_fingerprint.text()},
+                {"segments", joined(m_callerRequest.sharedSegments)},
                 {"route", m_route.name},
                 {"pool", m_pool},
                 {"group", m_group},
--- a/fulmarlink/gatewayattempt.cpp
+++ b/fulmarlink/gatewayattempt.cpp
@@ -235,6 +235,7 @@
     logRequest("attempt-ended",
                {{"id", m_callerRequest.attemptId},
                 {"fingerprint", m_fingerprint.text()},
+                {"segments", joined(m_callerRequest.sharedSegments)},
                 {"target", attempt.target.id},
                 {"born", std::to_string(attempt.target.born)},
                 {"group", attempt.group},
--- a/fulmarlink/gatewaycrashes.cpp
+++ b/fulmarlink/gatewaycrashes.cpp
@@ -22,7 +22,9 @@
 
 CrashSuspect GatewayExchange::crashSuspect() const
 {
-    return {m_fingerprint, m_customer, m_route.name, false};
+    CrashSuspect suspect{m_fingerprint, m_customer, m_route.name, false};
+    suspect.segments = m_callerRequest.sharedSegments;
+    return suspect;
 }
 
 bool GatewayExchange::checkCrashes()
--- a/fulmarlink/log.cpp
+++ b/fulmarlink/log.cpp
@@ -201,6 +201,16 @@
     write(log4cxx::Level::getWarn(), event, fields);
 }
 
+std::string joined(std::span<const std::string> texts, std::string_view separator)
+{
+    std::string result;
+    for (const std::string &text : texts) {
+        result += result.empty() ? "" : separator;
+        result += text;
+    }
+    return result;
+}
+
 std::string msText(Duration value)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
--- a/fulmarlink/log.h
+++ b/fulmarlink/log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -52,6 +53,9 @@
 /** As logChange(), for a change that an operator should look at. */
 void logWarning(std::string_view event, std::initializer_list<LogField> fields);
 
+/** The texts with @p separator between them. */
+std::string joined(std::span<const std::string> texts, std::string_view separator = ",");
+
 /** @p value in whole milliseconds for a log line. */
 std::string msText(Duration value);
 
--- a/testing/platformcodec_test.cpp
+++ b/testing/platformcodec_test.cpp
@@ -182,6 +182,28 @@
     EXPECT_EQ(request["Expect-Instance"], "i-1");
 }
 
+TEST(PlatformCodec, SharedSegmentsAreAllOfThePromptButTheLast)
+{
+    const PlatformProtocol protocol;
+    HttpRequest request(http::verb::post, "/p/x", 11);
+    const auto segments = [&](const std::string &prompt) {
+        request.set("Prompt-Prefix", prompt);
+        return protocol.readRequest(request).sharedSegments;
+    };
+    EXPECT_TRUE(protocol.readRequest(request).sharedSegments.empty());
+    EXPECT_TRUE(segments("").empty());
+    EXPECT_TRUE(segments("5c1e07a2:800").empty());
+    EXPECT_EQ(segments("5c1e07a2:800,91bd3f06:410,e4402b7d:250"), (std::vector<std::string>{"5c1e07a2", "91bd3f06"}));
+    EXPECT_EQ(segments(" 5c1e07a2 , 91BD3F06:410 ,e4402b7d"), (std::vector<std::string>{"5c1e07a2", "91BD3F06"}));
+    EXPECT_EQ(segments("5c\"1e:800,,:7,zz:1,91bd:2,e4402b7d:250"), (std::vector<std::string>{"91bd"})) << "ids that are not hexadecimal";
+    EXPECT_TRUE(segments(std::string(65, 'a') + ":1,b:2").empty());
+    std::string many;
+    for (unsigned i = 0; i < 1000; ++i) {
+        many += "ab:1,";
+    }
+    EXPECT_EQ(segments(many + "e4402b7d:250").size(), 16U);
+}
+
 TEST(PlatformCodec, NotRunRequiresMisdirectedStatusOrNotExecutedHeader)
 {
     const PlatformProtocol protocol;
