--- a/app/held.cpp
+++ b/app/held.cpp
@@ -34,10 +34,11 @@
 
 void print(const std::vector<HeldRequest> &held)
 {
-    std::cout << "fingerprint                                       verdict    crashes  customer  route  runners\n";
+    std::cout << "fingerprint                                       verdict    crashes  segment  customer  route  runners\n";
     for (const HeldRequest &request : held) {
         std::cout << request.fingerprint.text() << "  " << crashVerdictName(request.status.verdict) << "  " << request.status.crashes << "  "
-                  << request.customer << "  " << request.route << "  " << livesText(request) << '\n';
+                  << (request.status.segment.empty() ? "-" : request.status.segment) << "  " << (request.customer.empty() ? "-" : request.customer) << "  "
+                  << request.route << "  " << livesText(request) << '\n';
     }
 }
 
@@ -48,6 +49,7 @@
         rows.push_back(json::object{{"fingerprint", request.fingerprint.text()},
                                     {"verdict", crashVerdictName(request.status.verdict)},
                                     {"crashes", request.status.crashes},
+                                    {"segment", request.status.segment},
                                     {"customer", request.customer},
                                     {"route", request.route},
                                     {"runners", livesText(request)}});
@@ -90,7 +92,7 @@
     std::string store = "127.0.0.1:8080";
     bool asJson = false;
     CommandLine line("held",
-                     "list                 prints requests that are held back since runners ended under them\n"
+                     "list                 prints requests and prompt segments that are held back since runners ended under them\n"
                      "release FINGERPRINT  lets one go again, on all hosts",
                      "COMMAND [FINGERPRINT]");
     line.addText("store", &store, "Where the platform's store listens (127.0.0.1:8080)", "ADDRESS:PORT");
--- a/fulmarlink/callerprotocol.h
+++ b/fulmarlink/callerprotocol.h
@@ -27,6 +27,7 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t maxAnswerTokens = 0;
     std::vector<std::string> sharedSegments; ///< ids of the prompt's leading segments, which other requests may share; the last segment is not one of them
+    std::uint32_t ignoredSegments = 0; ///< segments before the last that are not among them: malformed ids, or too many
     std::uint32_t answerTokensHint = 0; ///< the caller's estimate of the answer's length; 0: none
     std::optional<Duration> deadline; ///< time that the caller will wait
 };
--- a/fulmarlink/crashhistory.cpp
+++ b/fulmarlink/crashhistory.cpp
@@ -24,10 +24,25 @@
 constexpr std::size_t kEvictionDivisor = 16; ///< 1/16 of maxRecords is evicted at a time
 constexpr double kOrphanFactor = 1.25; ///< other hosts' records are kept this much longer, so that normally their writers remove them
 
+constexpr std::size_t kMaxClearedTogether = 64; ///< segments and requests of one Cleared record
+
+/** The requests of the record and the segments of their prompts, each once. */
+std::set<RequestFingerprint> keysOf(const CrashRecord &record)
+{
+    std::set<RequestFingerprint> result;
+    for (const CrashSuspect &suspect : record.suspects) {
+        const CrashKeys keys = crashKeysOf(suspect.fingerprint, suspect.segments);
+        result.insert(keys.request);
+        result.insert(keys.segments.begin(), keys.segments.end());
+    }
+    return result;
+}
+
 } // namespace
 
 CrashHistory::CrashHistory(CrashPolicy policy)
     : m_policy(policy)
+    , m_segmentAnswers(policy.maxAnsweredSegments)
 {
 }
 
@@ -55,12 +70,12 @@
     if (stored.record.kind != CrashRecordKind::Crash) {
         return true;
     }
-    for (const CrashSuspect &suspect : stored.record.suspects) {
-        Request &request = m_requests[suspect.fingerprint];
-        if (completedRecently(suspect.fingerprint, now)) {
+    for (const RequestFingerprint &key : keysOf(stored.record)) {
+        Request &request = m_requests[key];
+        if (completedRecently(key, now)) {
             clear(request);
         }
-        queueClearance(suspect.fingerprint, request, now);
+        queueClearance(key, request, now);
     }
     return true;
 }
@@ -74,6 +89,14 @@
     exposure = std::max(exposure, suspect.exposure);
 }
 
+void CrashHistory::Crash::add(const CrashSuspect &suspect)
+{
+    allCopies.add(suspect);
+    if (!suspect.unread) {
+        readCopies.add(suspect);
+    }
+}
+
 void CrashHistory::index(const CrashRecord &record, TimePoint receivedAt)
 {
     for (const CrashSuspect &suspect : record.suspects) {
@@ -94,17 +117,17 @@
         for (const TargetIncarnation &incarnation : record.incarnations) {
             if (record.kind == CrashRecordKind::Cleared) {
                 request.cleared.insert(incarnation);
+                request.unpublished.erase(incarnation);
                 continue;
             }
             const TargetIncarnation counted = mutated(Mutation::CountReports) ? TargetIncarnation{record.name, 0} : incarnation;
-            const auto [it, added] = request.crashes.try_emplace(counted, Crash{receivedAt});
-            it->second.pool = record.pool;
-            it->second.allCopies.add(suspect);
-            if (!suspect.unread) {
-                it->second.readCopies.add(suspect);
-            }
             indexEnd(counted, record.writtenAt, true);
             m_lastEndAt = std::max(m_lastEndAt, receivedAt);
+            request.crashes.try_emplace(counted, Crash{receivedAt, record.pool}).first->second.add(suspect);
+            if (!suspect.answerStarted) {
+                m_lostAt[counted].insert(suspect.fingerprint);
+                indexSegments(record, suspect, counted, receivedAt);
+            }
         }
         for (const TargetIncarnation &survivor : suspect.survivors) {
             request.survivors[survivor].extend(record.writtenAt);
@@ -112,6 +135,24 @@
     }
 }
 
+void CrashHistory::indexSegments(const CrashRecord &record, const CrashSuspect &suspect, const TargetIncarnation &incarnation, TimePoint receivedAt)
+{
+    for (const std::string &id : suspect.segments) {
+        for (const std::uint64_t customer : {suspect.fingerprint.customer, kAllCustomers}) {
+            const RequestFingerprint key = segmentFingerprint(customer, id);
+            Request &segment = m_requests[key];
+            segment.customer = customer == kAllCustomers ? std::string() : suspect.customer;
+            segment.route = suspect.route;
+            segment.segment = id;
+            Crash &crash = segment.crashes.try_emplace(incarnation, Crash{receivedAt, record.pool}).first->second;
+            crash.add(suspect);
+            crash.customers.insert(suspect.fingerprint.customer);
+            crash.requests.insert(suspect.fingerprint);
+            m_lostAt[incarnation].insert(key);
+        }
+    }
+}
+
 void CrashHistory::indexEnd(const TargetIncarnation &incarnation, std::chrono::milliseconds detectedAt, bool recorded)
 {
     const auto [it, added] = m_ends.try_emplace(incarnation, End{detectedAt, recorded});
@@ -180,10 +221,28 @@
     }
 }
 
+std::optional<TimePoint> CrashHistory::lastAnswer(const RequestFingerprint &key) const
+{
+    const auto it = m_completions.find(key);
+    return it == m_completions.end() ? m_segmentAnswers.last(key) : std::optional(it->second);
+}
+
 bool CrashHistory::completedRecently(const RequestFingerprint &fingerprint, TimePoint now) const
 {
-    const auto it = m_completions.find(fingerprint);
-    return it != m_completions.end() && now - it->second <= m_policy.completionWindow;
+    const auto last = lastAnswer(fingerprint);
+    return last && now - *last <= m_policy.completionWindow;
+}
+
+void CrashHistory::segmentsAnswered(std::span<const RequestFingerprint> segments, TimePoint now)
+{
+    for (const RequestFingerprint &segment : segments) {
+        m_segmentAnswers.record(segment, now);
+        const auto it = m_requests.find(segment);
+        if (it != m_requests.end() && unclearedCrashes(it->second) > 0) {
+            clear(it->second);
+            queueClearance(segment, it->second, now);
+        }
+    }
 }
 
 std::optional<CrashRecord> CrashHistory::takeCompleted(std::vector<CrashSuspect> &suspects, TimePoint now) const
@@ -213,7 +272,9 @@
         return;
     }
     for (const auto &[incarnation, crash] : request.crashes) {
-        request.clearanceUnpublished = request.cleared.insert(incarnation).second || request.clearanceUnpublished;
+        if (request.cleared.insert(incarnation).second) {
+            request.unpublished.insert(incarnation);
+        }
     }
 }
 
@@ -223,19 +284,26 @@
  */
 void CrashHistory::queueClearance(const RequestFingerprint &fingerprint, Request &request, TimePoint now)
 {
-    if (!request.clearanceUnpublished || request.crashes.size() < m_policy.holdAfterCrashes) {
+    if (request.unpublished.empty() || request.crashes.size() < m_policy.holdAfterCrashes) {
         return;
     }
-    request.clearanceUnpublished = false;
     CrashRecord record;
     record.kind = CrashRecordKind::Cleared;
-    const auto completion = m_completions.find(fingerprint);
-    if (completion != m_completions.end()) {
-        record.completionAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - completion->second);
+    if (const auto answer = lastAnswer(fingerprint)) {
+        record.completionAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - *answer);
     }
-    record.incarnations.assign(request.cleared.begin(), request.cleared.end());
+    record.incarnations.assign(request.unpublished.begin(), request.unpublished.end());
     record.suspects.push_back({fingerprint, request.customer, request.route, false});
-    m_clearances.push_back(std::move(record));
+    request.unpublished.clear();
+    const bool sameAsLast = !m_clearances.empty() && m_clearances.back().incarnations == record.incarnations && m_clearances.back().completionAge.has_value()
+                            && record.completionAge.has_value() && m_clearances.back().suspects.size() < kMaxClearedTogether;
+    if (!sameAsLast) {
+        m_clearances.push_back(std::move(record));
+        return;
+    }
+    CrashRecord &last = m_clearances.back();
+    last.completionAge = std::max(last.completionAge, record.completionAge);
+    last.suspects.push_back(std::move(record.suspects.front()));
 }
 
 std::vector<CrashRecord> CrashHistory::takeClearances()
@@ -243,11 +311,16 @@
     return std::exchange(m_clearances, {});
 }
 
+bool CrashHistory::holdsBack(const RequestFingerprint &key) const
+{
+    const CrashVerdict verdict = status(key, TimePoint{}).verdict; // of those that refuse, the time decides only which one
+    return verdict == CrashVerdict::HeldBack || verdict == CrashVerdict::TrialDue || verdict == CrashVerdict::Banned;
+}
+
 bool CrashHistory::holdsBack(const CrashRecord &record) const
 {
-    return std::ranges::any_of(record.suspects, [this](const CrashSuspect &suspect) {
-        const CrashVerdict verdict = status(suspect.fingerprint, TimePoint{}).verdict; // of those that refuse, the time decides only which one
-        return verdict == CrashVerdict::HeldBack || verdict == CrashVerdict::TrialDue || verdict == CrashVerdict::Banned;
+    return std::ranges::any_of(keysOf(record), [this](const RequestFingerprint &key) {
+        return holdsBack(key);
     });
 }
 
@@ -299,6 +372,7 @@
     m_ends.clear();
     m_endOrder.clear();
     m_orderlyPools.clear();
+    m_lostAt.clear();
     for (const auto &[incarnation, detectedAt] : m_observedEnds) {
         indexEnd(incarnation, detectedAt, false);
     }
@@ -308,7 +382,7 @@
     for (auto &[fingerprint, request] : m_requests) {
         Request &previous = before[fingerprint];
         request.cleared.merge(previous.cleared);
-        request.clearanceUnpublished = previous.clearanceUnpublished;
+        request.unpublished = std::move(previous.unpublished);
     }
 }
 
--- a/fulmarlink/crashhistory.h
+++ b/fulmarlink/crashhistory.h
@@ -10,7 +10,9 @@
 #include <string>
 #include <vector>
 
+#include "fulmarlink/answertimes.h"
 #include "fulmarlink/clock.h"
+#include "fulmarlink/crashkeys.h"
 #include "fulmarlink/crashpolicy.h"
 #include "fulmarlink/crashrecord.h"
 
@@ -38,12 +40,15 @@
     double chanceBeforeAnswer = 1; ///< the same for those before the first part of the answer
     unsigned trials = 0; ///< claimed so far, on all hosts
     Duration retryAfter{0}; ///< for HeldBack and Banned
+    RequestFingerprint key; ///< of the request or the prompt segment that the verdict is about
+    std::string segment; ///< id of that segment; empty: it is about the request itself
+    RequestFingerprint trialKey; ///< for which a trial is claimed: of a segment, the one for all customers
 };
 
-/** A request that is held back, due for a trial or banned; listed for operators. */
+/** A request or prompt segment that is held back, due for a trial or banned; listed for operators. */
 struct HeldRequest {
     RequestFingerprint fingerprint;
-    std::string customer;
+    std::string customer; ///< empty: a segment in the requests of all customers
     std::string route;
     CrashStatus status;
     std::vector<TargetIncarnation> incarnations; ///< that ended with it in progress
@@ -67,6 +72,12 @@
  * don't depend on the order of records. No I/O; not thread-safe; status() is O(log n) in the
  * number of requests, and for one with CrashPolicy::holdAfterCrashes crashes linear in the ends
  * around them.
+ *
+ * Requests that differ may crash runners for what their prompts have in common. So each shared segment of a prompt is judged
+ * as well, by the requests with it that were lost before the first part of their answers, once for each customer and
+ * once for all customers. Sound requests share most segments with one at fault. So an
+ * answer to any request with a segment clears it, and a crash does not count against a segment if another one, or a
+ * request, explains it better that the request to be judged does not have: see crashverdicts.cpp.
  */
 class CrashHistory
 {
@@ -85,11 +96,17 @@
 
     /** Returns false if a record of this name is known already. */
     bool add(CrashRecord record, TimePoint now);
+    /** The verdict on a request alone, or on a segment in a request that has no other. */
     CrashStatus status(const RequestFingerprint &fingerprint, TimePoint now) const;
+    /** The gravest verdict on the request and on the segments of its prompt. */
+    CrashStatus gravestStatus(const CrashKeys &request, TimePoint now) const;
 
     /** A runner has answered the request, with success or failure: clears it of all earlier crashes. */
     void requestCompleted(const RequestFingerprint &fingerprint, TimePoint now);
     bool completedRecently(const RequestFingerprint &fingerprint, TimePoint now) const;
+    /** A runner has begun to answer a request with these segments: clears them of all earlier crashes. Failures don't count, since a runner may fail a request
+     * that it has not begun. */
+    void segmentsAnswered(std::span<const RequestFingerprint> segments, TimePoint now);
     /**
      * Takes those @p suspects out that have completed recently, and returns the Cleared record of them, for hosts that have copies of them at the
      * same runner and may not have seen an answer. Nothing if there are none. The caller sets incarnation, name, host and time.
@@ -143,19 +160,24 @@
 
     struct Crash {
         TimePoint receivedAt{};
-        std::string pool; ///< of the runner
-        Evidence allCopies;
-        Evidence readCopies; ///< without those that the runner had not read, if resets tell
+        std::string pool{}; ///< of the runner
+        Evidence allCopies{};
+        Evidence readCopies{}; ///< without those that the runner had not read, if resets tell
+        std::set<std::uint64_t> customers{}; ///< of a segment: hashes of those whose requests with it were lost there
+        std::set<RequestFingerprint> requests{}; ///< of a segment: those requests
+
+        void add(const CrashSuspect &suspect);
     };
 
     struct Request {
         std::string customer;
         std::string route;
+        std::string segment; ///< id; empty: a request
         std::map<TargetIncarnation, Crash> crashes;
         std::set<TargetIncarnation> cleared;
         std::map<TargetIncarnation, Interval> survivors; ///< from when until when each is known to have lived with the request
         std::chrono::milliseconds completedAt{0}; ///< Unix time of the latest completion in a Cleared record; 0: none
-        bool clearanceUnpublished = false; ///< cleared of a crash since its last Cleared record was queued
+        std::set<TargetIncarnation> unpublished; ///< of `cleared`, those since its last Cleared record was queued
         unsigned trials = 0;
         TimePoint lastTrialAt{};
     };
@@ -175,11 +197,25 @@
     };
 
     void index(const CrashRecord &record, TimePoint receivedAt);
+    void indexSegments(const CrashRecord &record, const CrashSuspect &suspect, const TargetIncarnation &incarnation, TimePoint receivedAt);
     static void clear(Request &request);
     void queueClearance(const RequestFingerprint &fingerprint, Request &request, TimePoint now);
     void rebuildIndex();
     void evictRecords();
     bool holdsBack(const CrashRecord &record) const;
+    bool holdsBack(const RequestFingerprint &key) const;
+    std::optional<TimePoint> lastAnswer(const RequestFingerprint &key) const;
+    CrashStatus requestStatus(const Request &request, TimePoint now) const;
+    CrashStatus segmentStatus(const RequestFingerprint &segment, const CrashKeys &request, TimePoint now) const;
+    Request unexplainedCrashes(const RequestFingerprint &segment, const Request &crashed, const CrashKeys &request) const;
+    bool isExplained(const TargetIncarnation &incarnation, const RequestFingerprint &segment, const CrashKeys &request) const;
+    bool explainsBetter(const RequestFingerprint &other, const RequestFingerprint &segment) const;
+    bool isCrashOfSuspectedSegment(const TargetIncarnation &incarnation) const;
+    std::set<TargetIncarnation> crashesBeforeAnswer(const RequestFingerprint &key) const;
+    std::size_t lostRequests(const RequestFingerprint &key) const;
+    const Request *findSegmentOfAll(const RequestFingerprint &segment) const;
+    static bool ofOneCustomer(const Request &segment);
+    void holdUntilCalm(const RequestFingerprint &segment, const Request &crashed, TimePoint now, CrashStatus &status) const;
     void indexEnd(const TargetIncarnation &incarnation, std::chrono::milliseconds detectedAt, bool recorded);
     void forgetOldestObservedEnd();
     void compareWithOthers(const Request &request, CrashStatus &status) const;
@@ -198,13 +234,15 @@
     std::map<std::string, Stored> m_records; ///< by name
     std::map<RequestFingerprint, Request> m_requests;
     std::map<TargetIncarnation, End> m_ends;
+    std::map<TargetIncarnation, std::set<RequestFingerprint>> m_lostAt; ///< by runner: requests lost there before their answers, and their segments
     std::set<std::string> m_orderlyPools; ///< of which a runner that ended closed the connection of a request in order
     std::map<TargetIncarnation, std::chrono::milliseconds> m_observedEnds; ///< without a record, by this host
     std::deque<TargetIncarnation> m_observedOrder; ///< m_observedEnds, oldest first
     std::set<std::pair<std::chrono::milliseconds, TargetIncarnation>> m_endOrder; ///< m_ends by time
     TimePoint m_lastEndAt{}; ///< when the latest record of an end was received
     std::size_t m_runners = 0;
-    std::map<RequestFingerprint, TimePoint> m_completions;
+    AnswerTimes m_segmentAnswers;
+    std::map<RequestFingerprint, TimePoint> m_completions; ///< of requests
     std::deque<std::pair<TimePoint, RequestFingerprint>> m_completionOrder; ///< oldest first; may also hold outdated times of a request
     std::vector<CrashRecord> m_clearances;
     std::uint64_t m_dropped = 0;
--- a/fulmarlink/crashpolicy.h
+++ b/fulmarlink/crashpolicy.h
@@ -54,6 +54,7 @@
     std::chrono::milliseconds heldRetention = std::chrono::hours(24);
     std::size_t maxRecords = 2048; ///< some 0.5 KB each; the oldest that hold no request back are evicted first
     std::size_t maxObservedEnds = 1024; ///< ends that only this host has observed; the oldest are forgotten first
+    std::size_t maxAnsweredSegments = 8192; ///< prompt segments of which it is known when they were last answered; two for each shared segment in use
     std::size_t maxCompletions = 4096; ///< recent completions: 400 a second, ten times the rate of a busy host
 };
 
--- a/fulmarlink/crashverdicts.cpp
+++ b/fulmarlink/crashverdicts.cpp
@@ -1,5 +1,20 @@
 // The verdicts of CrashHistory: how a request's crashes are weighed against the ends of runners without it and
 // against the runners that outlived it. Reads the indexes that crashhistory.cpp keeps.
+//
+// Prompt segments are judged by the same rules, with three differences.
+//
+// A segment shares its crashes with the others in the prompts of the requests at fault. Any of them may be the cause, but the fewest causes
+// that explain all crashes are the likeliest. So a crash counts against a segment only if no other segment, or request,
+// that was lost there explains it better (explainsBetter()). Which one it is stays open where several were in the same crashes;
+// a request that has only some of them is let through, and tells.
+//
+// Without the crashes that another one explains, a segment that many sound requests share has none left, or it has been answered since.
+// If it has been answered before, or other runners ended at the same time, it is refused only until runners have not ended for a while, and
+// then tried: that all of its requests were lost may have been the runners' fault. Many requests have a segment, so that more
+// of them are lost by chance than of one request; below crashLimit crashes only a chance of certainChance counts.
+//
+// After crashes under the requests of one customer a segment is held back for that customer; for all others only after one more, since
+// callers name their segments themselves.
 
 #include <algorithm>
 #include <utility>
@@ -28,6 +43,34 @@
     return "clear";
 }
 
+namespace
+{
+
+bool isRefusal(CrashVerdict verdict)
+{
+    return verdict == CrashVerdict::HeldBack || verdict == CrashVerdict::TrialDue || verdict == CrashVerdict::Banned;
+}
+
+/** A request whose trial is due may run on one host, so it is refused more gravely if it is held back for another reason. */
+int gravity(CrashVerdict verdict)
+{
+    switch (verdict) {
+    case CrashVerdict::Clear:
+        return 0;
+    case CrashVerdict::Suspect:
+        return 1;
+    case CrashVerdict::TrialDue:
+        return 2;
+    case CrashVerdict::HeldBack:
+        return 3;
+    case CrashVerdict::Banned:
+        return 4;
+    }
+    return 0;
+}
+
+} // namespace
+
 /**
  * A process that ends closes its connections in order, but resets those with data that it has not read, as TCP demands. A server may also be set
  * up to reset them all, so resets tell this only in pools whose runners have been seen to close others in order.
@@ -119,7 +162,8 @@
         for (auto it = m_endOrder.lower_bound({interval.from, {}}); it != m_endOrder.end() && it->first <= interval.to; ++it) {
             const auto crash = request.crashes.find(it->second);
             const bool isOwn = crash != request.crashes.end() && counts(request, crash->first, crash->second);
-            result.otherEnds += isOwn ? 0 : 1;
+            const bool hasOtherCause = !request.segment.empty() && isCrashOfSuspectedSegment(it->second);
+            result.otherEnds += isOwn || hasOtherCause ? 0 : 1;
         }
     }
     return result;
@@ -178,12 +222,187 @@
 
 CrashStatus CrashHistory::status(const RequestFingerprint &fingerprint, TimePoint now) const
 {
-    CrashStatus result;
     const auto it = m_requests.find(fingerprint);
     if (it == m_requests.end()) {
-        return result;
+        return {};
     }
-    const Request &request = it->second;
+    if (!it->second.segment.empty()) {
+        return segmentStatus(fingerprint, {{}, {fingerprint}}, now);
+    }
+    CrashStatus result = requestStatus(it->second, now);
+    result.key = fingerprint;
+    result.trialKey = fingerprint;
+    return result;
+}
+
+CrashStatus CrashHistory::gravestStatus(const CrashKeys &request, TimePoint now) const
+{
+    CrashStatus gravest = status(request.request, now);
+    for (const RequestFingerprint &segment : request.segments) {
+        if (!m_requests.contains(segment)) {
+            continue;
+        }
+        CrashStatus status = segmentStatus(segment, request, now);
+        if (isRefusal(status.verdict) && gravity(status.verdict) > gravity(gravest.verdict)) {
+            gravest = std::move(status);
+        }
+    }
+    return gravest;
+}
+
+/** Whether each crash of the segment is one of the same customer's requests: then that customer's own verdict is enough. */
+bool CrashHistory::ofOneCustomer(const Request &segment)
+{
+    if (segment.crashes.empty()) {
+        return true;
+    }
+    return std::ranges::any_of(segment.crashes.begin()->second.customers, [&segment](std::uint64_t customer) {
+        return std::ranges::all_of(segment.crashes, [customer](const auto &crash) {
+            return crash.second.customers.contains(customer);
+        });
+    });
+}
+
+CrashStatus CrashHistory::segmentStatus(const RequestFingerprint &segment, const CrashKeys &request, TimePoint now) const
+{
+    const Request &crashed = m_requests.at(segment);
+    CrashStatus result;
+    if (unclearedCrashes(crashed) >= m_policy.holdAfterCrashes) {
+        const Request unexplained = unexplainedCrashes(segment, crashed, request);
+        const bool ofOthers = segment.customer == kAllCustomers && ofOneCustomer(unexplained);
+        result = ofOthers && unexplained.crashes.size() < m_policy.maxCrashes ? CrashStatus() : requestStatus(unexplained, now);
+        if (result.crashes < m_policy.crashLimit && result.chance > m_policy.certainChance) {
+            result.verdict = CrashVerdict::Suspect;
+        }
+        if (isRefusal(result.verdict)) {
+            holdUntilCalm(segment, unexplained, now, result);
+        }
+    }
+    const Request *ofAll = findSegmentOfAll(segment);
+    result.trials = ofAll == nullptr ? 0 : ofAll->trials;
+    result.key = segment;
+    result.segment = crashed.segment;
+    result.trialKey = {kAllCustomers, segment.high, segment.low};
+    return result;
+}
+
+/** Null if there is none. */
+const CrashHistory::Request *CrashHistory::findSegmentOfAll(const RequestFingerprint &segment) const
+{
+    const auto it = m_requests.find({kAllCustomers, segment.high, segment.low});
+    return it == m_requests.end() ? nullptr : &it->second;
+}
+
+/** The segment with those of its crashes that no other cause explains better which @p request lacks. */
+CrashHistory::Request CrashHistory::unexplainedCrashes(const RequestFingerprint &segment, const Request &crashed, const CrashKeys &request) const
+{
+    Request result = crashed;
+    if (const Request *ofAll = findSegmentOfAll(segment)) {
+        result.lastTrialAt = ofAll->lastTrialAt;
+    }
+    std::erase_if(result.crashes, [&](const auto &crash) {
+        return !counts(crashed, crash.first, crash.second) || isExplained(crash.first, segment, request);
+    });
+    return result;
+}
+
+bool CrashHistory::isExplained(const TargetIncarnation &incarnation, const RequestFingerprint &segment, const CrashKeys &request) const
+{
+    const auto lost = m_lostAt.find(incarnation);
+    return lost != m_lostAt.end() && std::ranges::any_of(lost->second, [&](const RequestFingerprint &other) {
+               return !request.contains(other) && explainsBetter(other, segment);
+           });
+}
+
+/**
+ * Whether @p other is the likelier cause of a crash of both: of the two it alone has never been answered, or it has more crashes. With the
+ * same crashes it is if no more requests with it than with @p segment were lost in them.
+ */
+bool CrashHistory::explainsBetter(const RequestFingerprint &other, const RequestFingerprint &segment) const
+{
+    const bool isRequest = m_requests.at(other).segment.empty();
+    if (!isRequest && other.customer != segment.customer && other.customer != kAllCustomers) {
+        return false;
+    }
+    const std::set<TargetIncarnation> otherCrashes = crashesBeforeAnswer(other);
+    if (otherCrashes.size() < m_policy.holdAfterCrashes) {
+        return false;
+    }
+    const bool otherAnswered = lastAnswer(other).has_value();
+    const bool answered = lastAnswer(segment).has_value();
+    if (otherAnswered != answered) {
+        return answered;
+    }
+    const std::set<TargetIncarnation> crashes = crashesBeforeAnswer(segment);
+    if (otherCrashes.size() != crashes.size()) {
+        return otherCrashes.size() > crashes.size();
+    }
+    return otherCrashes == crashes && lostRequests(other) <= lostRequests(segment);
+}
+
+/** Whether requests were lost there with a segment that has never been answered and has more crashes: then the runner did not end by itself. */
+bool CrashHistory::isCrashOfSuspectedSegment(const TargetIncarnation &incarnation) const
+{
+    const auto lost = m_lostAt.find(incarnation);
+    return lost != m_lostAt.end() && std::ranges::any_of(lost->second, [this](const RequestFingerprint &key) {
+               const bool isSegment = !m_requests.at(key).segment.empty();
+               return isSegment && !lastAnswer(key) && crashesBeforeAnswer(key).size() >= m_policy.holdAfterCrashes;
+           });
+}
+
+std::set<TargetIncarnation> CrashHistory::crashesBeforeAnswer(const RequestFingerprint &key) const
+{
+    std::set<TargetIncarnation> result;
+    const Request &request = m_requests.at(key);
+    for (const auto &[incarnation, crash] : request.crashes) {
+        if (counts(request, incarnation, crash) && !evidenceOf(crash).answerStarted) {
+            result.insert(incarnation);
+        }
+    }
+    return result;
+}
+
+/** Number of different requests that were lost in the segment's crashes; 1 for a request. */
+std::size_t CrashHistory::lostRequests(const RequestFingerprint &key) const
+{
+    const Request &request = m_requests.at(key);
+    if (request.segment.empty()) {
+        return 1;
+    }
+    std::set<RequestFingerprint> lost;
+    for (const auto &[incarnation, crash] : request.crashes) {
+        if (counts(request, incarnation, crash)) {
+            lost.insert(crash.requests.begin(), crash.requests.end());
+        }
+    }
+    return lost.size();
+}
+
+/**
+ * Shortens the refusal until runners have not ended for calmTime, if the crashes may be the runners' fault: the segment has been answered before, or
+ * other runners ended at the same time. Not if a trial has failed since.
+ */
+void CrashHistory::holdUntilCalm(const RequestFingerprint &segment, const Request &crashed, TimePoint now, CrashStatus &status) const
+{
+    const auto answeredAt = lastAnswer(segment);
+    TimePoint lastCrash{};
+    for (const auto &[incarnation, crash] : crashed.crashes) {
+        lastCrash = std::max(lastCrash, crash.receivedAt);
+    }
+    const bool trialFailed = crashed.lastTrialAt > answeredAt.value_or(TimePoint{}) && lastCrash > crashed.lastTrialAt;
+    const bool runnersMayBeAtFault = answeredAt || status.chance > 0;
+    if (!runnersMayBeAtFault || trialFailed) {
+        return;
+    }
+    const TimePoint last = std::max(lastCrash, crashed.lastTrialAt);
+    const TimePoint trialAt = std::min(last + m_policy.holdTime, std::max(last, m_lastEndAt) + m_policy.calmTime);
+    status.retryAfter = std::max(trialAt - now, Duration(0));
+    status.verdict = status.retryAfter > Duration(0) ? CrashVerdict::HeldBack : CrashVerdict::TrialDue;
+}
+
+CrashStatus CrashHistory::requestStatus(const Request &request, TimePoint now) const
+{
+    CrashStatus result;
     const Counts counts = countCrashes(request);
     result.crashes = counts.all;
     result.trials = request.trials;
--- a/fulmarlink/crashwatch.cpp
+++ b/fulmarlink/crashwatch.cpp
@@ -28,6 +28,7 @@
 constexpr Duration kStoreRetry = std::chrono::milliseconds(250); ///< as for the other reads of the store
 constexpr std::size_t kMaxQueue = 64; ///< records; a host sees fewer runners end during a store outage
 constexpr std::size_t kMaxSuspects = 64; ///< per record; a runner has some dozen requests in progress, a few of them from one host
+constexpr std::size_t kMaxRecordSegments = 256; ///< of all suspects together; some 16 KB
 constexpr std::size_t kMaxEnded = 256; ///< incarnations already handled; a runner's old connections break off within seconds of its end
 constexpr Duration kExpiryInterval = std::chrono::minutes(1);
 
@@ -40,6 +41,7 @@
     , m_wakePublisher(context, asio::steady_timer::time_point::max())
     , m_runnersEnded(state.counters.registerCounter("fulmarlink_runners_ended_total"))
     , m_heldBack(state.counters.registerCounter("fulmarlink_requests_held_back"))
+    , m_segmentsHeldBack(state.counters.registerCounter("fulmarlink_segments_held_back"))
     , m_records(state.counters.registerCounter("fulmarlink_crash_records"))
     , m_recordsDropped(state.counters.registerCounter("fulmarlink_crash_records_dropped_total"))
     , m_unwritten(state.counters.registerCounter("fulmarlink_crash_records_unwritten_total"))
@@ -119,7 +121,11 @@
     queueClearances();
     m_state.counters.set(m_records, m_state.crashes.size());
     m_state.counters.set(m_recordsDropped, m_state.crashes.droppedRecords());
-    m_state.counters.set(m_heldBack, m_state.crashes.heldRequests(m_state.clock.now()).size());
+    const std::vector<HeldRequest> held = m_state.crashes.heldRequests(m_state.clock.now());
+    m_state.counters.set(m_heldBack, held.size());
+    m_state.counters.set(m_segmentsHeldBack, static_cast<std::size_t>(std::ranges::count_if(held, [](const HeldRequest &request) {
+                             return !request.status.segment.empty();
+                         })));
 }
 
 void CrashWatch::apply(CrashRecord record)
@@ -135,29 +141,48 @@
     logStatuses(copy);
 }
 
-/** Logs a line for each request that the record clears, and for each that now has two crashes or more. */
+/** Logs a line for each request or segment that the record clears, and for each that now has two crashes or more. */
 void CrashWatch::logStatuses(const CrashRecord &record)
 {
+    std::set<RequestFingerprint> logged;
     for (const CrashSuspect &suspect : record.suspects) {
-        const CrashStatus status = m_state.crashes.status(suspect.fingerprint, m_state.clock.now());
-        const bool isClearance = record.kind == CrashRecordKind::Cleared;
-        if (status.crashes < 2 && !isClearance) {
-            continue;
+        const CrashKeys keys = crashKeysOf(suspect.fingerprint, suspect.segments);
+        logStatus(record, suspect, m_state.crashes.status(keys.request, m_state.clock.now()));
+        for (const RequestFingerprint &segment : keys.segments) {
+            if (logged.insert(segment).second) {
+                logStatus(record, suspect, m_state.crashes.status(segment, m_state.clock.now()));
+            }
         }
-        logWarning(isClearance ? "request-cleared" : "request-suspected",
-                   {{"fingerprint", suspect.fingerprint.text()},
-                    {"customer", suspect.customer},
-                    {"route", suspect.route},
-                    {"verdict", crashVerdictName(status.verdict)},
-                    {"crashes", std::to_string(status.crashes)},
-                    {"chance", scientific(status.chance)},
-                    {"survivors", std::to_string(status.survivors)},
-                    {"trials", std::to_string(status.trials)},
-                    {"lives", textOf(record.incarnations)},
-                    {"told_by", record.host}});
     }
 }
 
+void CrashWatch::logStatus(const CrashRecord &record, const CrashSuspect &suspect, const CrashStatus &status) const
+{
+    const bool isClearance = record.kind == CrashRecordKind::Cleared;
+    if (status.crashes < 2 && !isClearance) {
+        return;
+    }
+    const bool isSegment = !status.segment.empty();
+    logWarning(isClearance ? "request-cleared" : (isSegment ? "segment-suspected" : "request-suspected"),
+               {{"fingerprint", status.key.text()},
+                {"segment", status.segment},
+                {"customer", isSegment && status.key.customer == kAllCustomers ? std::string() : suspect.customer},
+                {"route", suspect.route},
+                {"verdict", crashVerdictName(status.verdict)},
+                {"crashes", std::to_string(status.crashes)},
+                {"chance", scientific(status.chance)},
+                {"survivors", std::to_string(status.survivors)},
+                {"trials", std::to_string(status.trials)},
+                {"lives", textOf(record.incarnations)},
+                {"told_by", record.host}});
+}
+
+void CrashWatch::segmentsAnswered(std::span<const RequestFingerprint> segments)
+{
+    m_state.crashes.segmentsAnswered(segments, m_state.clock.now());
+    queueClearances();
+}
+
 void CrashWatch::runnerAnswered(const TargetIncarnation &incarnation)
 {
     m_state.attempts.recordAnswer(incarnation);
@@ -224,12 +249,32 @@
     const TargetInfo *target = m_state.targets.find(incarnation.id);
     record.pool = target == nullptr ? std::string() : target->pool;
     record.incarnations.push_back(incarnation);
+    dropSegments(suspects, incarnation);
     record.suspects = std::move(suspects);
     enqueue(record);
     apply(std::move(record));
     queueClearances();
 }
 
+/** Drops the segments that have been answered recently, and those beyond the limit of a record. */
+void CrashWatch::dropSegments(std::vector<CrashSuspect> &suspects, const TargetIncarnation &incarnation) const
+{
+    std::size_t kept = 0;
+    std::size_t dropped = 0;
+    for (CrashSuspect &suspect : suspects) {
+        std::erase_if(suspect.segments, [&](const std::string &id) {
+            return m_state.crashes.completedRecently(segmentFingerprint(suspect.fingerprint.customer, id), m_state.clock.now());
+        });
+        const std::size_t room = kMaxRecordSegments - kept;
+        dropped += suspect.segments.size() - std::min(suspect.segments.size(), room);
+        suspect.segments.resize(std::min(suspect.segments.size(), room));
+        kept += suspect.segments.size();
+    }
+    if (dropped > 0) {
+        logWarning("crash-record-segments-dropped", {{"target", incarnation.id}, {"kept", std::to_string(kept)}, {"dropped", std::to_string(dropped)}});
+    }
+}
+
 void CrashWatch::suspectLost(const TargetIncarnation &incarnation, CrashSuspect suspect)
 {
     if (!m_state.crashes.completedRecently(suspect.fingerprint, m_state.clock.now())) {
--- a/fulmarlink/crashwatch.h
+++ b/fulmarlink/crashwatch.h
@@ -6,10 +6,12 @@
 #include <cstdint>
 #include <deque>
 #include <set>
+#include <span>
 #include <string>
 #include <system_error>
 
 #include "fulmarlink/counters.h"
+#include "fulmarlink/crashhistory.h"
 #include "fulmarlink/crashrecord.h"
 #include "fulmarlink/gatewaystate.h"
 #include "fulmarlink/openattempt.h"
@@ -57,6 +59,8 @@
     boost::asio::awaitable<RunnerProbe> probe(TargetInfo target);
     /** Call when a runner answers any attempt, also to refuse it. */
     void runnerAnswered(const TargetIncarnation &incarnation);
+    /** Call when a runner has begun to answer a request whose prompt has these segments. Tells other hosts if they may hold one of them back. */
+    void segmentsAnswered(std::span<const RequestFingerprint> segments);
     /**
      * The list of runners shows that the runner has restarted: all of its incarnations have ended but the one that started at
      * @p born (0 if it is no longer listed under this id).
@@ -82,6 +86,7 @@
     boost::asio::awaitable<void> awaitExpired(OpenAttempt attempt);
     boost::asio::awaitable<void> sleep(Duration duration);
     void handleEnded(const TargetIncarnation &incarnation, std::string_view evidence);
+    void dropSegments(std::vector<CrashSuspect> &suspects, const TargetIncarnation &incarnation) const;
     void recordCrash(const TargetIncarnation &incarnation, std::vector<CrashSuspect> suspects);
     void apply(SharedRecordsRead read);
     void apply(CrashRecord record);
@@ -91,6 +96,7 @@
     Duration retryDelay();
     boost::asio::awaitable<void> removeExpired();
     void logStatuses(const CrashRecord &record);
+    void logStatus(const CrashRecord &record, const CrashSuspect &suspect, const CrashStatus &status) const;
     CrashRecord newRecord(CrashRecordKind kind, const std::string &namePrefix) const;
 
     boost::asio::io_context &m_context;
@@ -107,6 +113,7 @@
     bool m_writable = true; ///< the last write of a record succeeded
     Counters::Id m_runnersEnded;
     Counters::Id m_heldBack;
+    Counters::Id m_segmentsHeldBack; ///< those of m_heldBack that are prompt segments
     Counters::Id m_records;
     Counters::Id m_recordsDropped;
     Counters::Id m_unwritten;
--- a/fulmarlink/gatewaycrashes.cpp
+++ b/fulmarlink/gatewaycrashes.cpp
@@ -14,6 +14,20 @@
 
 namespace asio = boost::asio;
 
+namespace
+{
+
+constexpr unsigned kFirstFailureStatus = 400;
+
+/** The verdict, its number of crashes, and the prompt segment that it is about, if any. */
+std::string reasonOf(const CrashStatus &status)
+{
+    std::string result = std::string(crashVerdictName(status.verdict)) + " crashes " + std::to_string(status.crashes);
+    return status.segment.empty() ? result : result + " segment " + status.segment + ' ' + status.key.text();
+}
+
+} // namespace
+
 RequestFingerprint GatewayExchange::fingerprint() const
 {
     const auto target = m_request.target();
@@ -27,31 +41,46 @@
     return suspect;
 }
 
+void GatewayExchange::countSegmentRefusal(const CrashStatus &status)
+{
+    if (!status.segment.empty()) {
+        m_state.counters.add(m_state.segmentRefusals);
+    }
+}
+
 bool GatewayExchange::checkCrashes()
 {
-    const CrashStatus status = m_state.crashes.status(m_fingerprint, m_arrived);
+    m_crashKeys = crashKeysOf(m_fingerprint, m_callerRequest.sharedSegments);
+    const CrashStatus status = m_state.crashes.gravestStatus(m_crashKeys, m_arrived);
     m_trialDue = status.verdict == CrashVerdict::TrialDue;
+    m_trialKey = status.trialKey;
     if (status.verdict != CrashVerdict::HeldBack && status.verdict != CrashVerdict::Banned) {
         return true;
     }
-    m_reason = std::string(crashVerdictName(status.verdict)) + " crashes " + std::to_string(status.crashes);
+    m_reason = reasonOf(status);
+    countSegmentRefusal(status);
     return refuse(ResultCode::RequestEndsRunners, status.retryAfter);
 }
 
 /** Whether the request must be held back by now, because of crashes that became known after its arrival. */
 bool GatewayExchange::updateHeldBack()
 {
-    const CrashStatus status = m_state.crashes.status(m_fingerprint, m_state.clock.now());
+    const CrashStatus status = m_state.crashes.gravestStatus(m_crashKeys, m_state.clock.now());
     const bool held = status.verdict == CrashVerdict::HeldBack || status.verdict == CrashVerdict::TrialDue;
     m_heldBack = status.verdict == CrashVerdict::Banned || (held && !m_trialDue);
-    m_retryAfter = m_heldBack ? status.retryAfter : m_retryAfter;
+    if (m_heldBack) {
+        m_retryAfter = status.retryAfter;
+        m_reason = reasonOf(status);
+        countSegmentRefusal(status);
+    }
     return m_heldBack;
 }
 
 asio::awaitable<bool> GatewayExchange::claimTrial()
 {
-    const bool claimed = co_await m_state.crashWatch->claimTrial(crashSuspect());
-    logRequest("trial", {{"id", m_callerRequest.attemptId}, {"fingerprint", m_fingerprint.text()}, {"claimed", claimed ? "true" : "false"}});
+    const bool claimed = co_await m_state.crashWatch->claimTrial({m_trialKey, m_customer, m_route.name, false});
+    logRequest("trial",
+               {{"id", m_callerRequest.attemptId}, {"fingerprint", m_fingerprint.text()}, {"of", m_trialKey.text()}, {"claimed", claimed ? "true" : "false"}});
     if (claimed) {
         co_return true;
     }
@@ -82,6 +111,9 @@
     if (end == AttemptEnd::Answered || end == AttemptEnd::Failed) {
         m_state.crashes.requestCompleted(m_fingerprint, now);
     }
+    if (end == AttemptEnd::Answered && m_status < kFirstFailureStatus) {
+        m_state.crashWatch->segmentsAnswered(m_crashKeys.segments);
+    }
     if (!broken) {
         co_return;
     }
--- a/fulmarlink/gatewayexchange.cpp
+++ b/fulmarlink/gatewayexchange.cpp
@@ -62,6 +62,10 @@
     m_info.method.assign(method.data(), method.size());
     m_info.idempotent = methodIsIdempotent(m_info.method);
     m_info.promptTokens = m_callerRequest.promptTokens;
+    if (m_callerRequest.ignoredSegments > 0) {
+        state.counters.add(state.ignoredSegments, m_callerRequest.ignoredSegments);
+        logRequest("segments-ignored", {{"id", m_callerRequest.attemptId}, {"count", std::to_string(m_callerRequest.ignoredSegments)}});
+    }
 }
 
 GatewayExchange::~GatewayExchange() = default;
@@ -241,7 +245,6 @@
 {
     const TimePoint now = m_state.clock.now();
     if (updateHeldBack()) {
-        m_reason = "held-back";
         return false;
     }
     const auto active = m_state.config.active();
--- a/fulmarlink/gatewayexchange.h
+++ b/fulmarlink/gatewayexchange.h
@@ -14,6 +14,7 @@
 #include "fulmarlink/attemptpolicy.h"
 #include "fulmarlink/callerprotocol.h"
 #include "fulmarlink/configstate.h"
+#include "fulmarlink/crashkeys.h"
 #include "fulmarlink/eventsplitter.h"
 #include "fulmarlink/gatewaystate.h"
 #include "fulmarlink/openattempt.h"
@@ -55,6 +56,7 @@
     bool admit();
     bool checkCrashes();
     bool updateHeldBack();
+    void countSegmentRefusal(const CrashStatus &status);
     boost::asio::awaitable<bool> claimTrial();
     boost::asio::awaitable<void> recordCrashEvidence(AttemptEnd end);
     CrashSuspect crashSuspect() const;
@@ -121,6 +123,7 @@
     std::optional<TargetInfo> m_admittedTarget; ///< target chosen at admission, used by the first attempt
     std::string m_customer;
     RequestFingerprint m_fingerprint; ///< set once the customer is known
+    CrashKeys m_crashKeys; ///< as m_fingerprint
     TimePoint m_deadline{};
     ResultCode m_result = ResultCode::Ok;
     Duration m_retryAfter{0};
@@ -137,6 +140,7 @@
     bool m_callerConnectionBroken = false; ///< the caller's connection can't be reused
     bool m_answerBegun = false;
     bool m_trialDue = false; ///< the request is held back after crashes and a trial run is due
+    RequestFingerprint m_trialKey; ///< of the request or the segment that is to be tried
     bool m_heldBack = false; ///< by crashes that became known after admission
     ConnectionEnd m_connectionEnd = ConnectionEnd::Open; ///< of the last attempt
     bool m_runnerEnded = false; ///< the last attempt's runner ended, or may have, before it sent an event
--- a/fulmarlink/gatewayrelay.cpp
+++ b/fulmarlink/gatewayrelay.cpp
@@ -335,6 +335,7 @@
     const Duration latencyTarget = first ? m_route.objective : m_route.gapTarget;
     if (first) {
         m_firstEventTime = now;
+        m_state.crashWatch->segmentsAnswered(m_crashKeys.segments);
         m_state.firstEventDelay.observe(interval);
     } else {
         m_state.eventInterval.observe(interval);
--- a/fulmarlink/gatewaystate.cpp
+++ b/fulmarlink/gatewaystate.cpp
@@ -50,6 +50,8 @@
     , eventInterval(counters, "fulmarlink_event_pause_ms")
     , deniedRetries(counters.registerCounter("fulmarlink_retries_denied_total"))
     , limitedSends(counters.registerCounter("fulmarlink_limited_sends_total"))
+    , segmentRefusals(counters.registerCounter("fulmarlink_segment_refusals_total"))
+    , ignoredSegments(counters.registerCounter("fulmarlink_prompt_segments_ignored_total"))
     , backoffSends(counters.registerCounter("fulmarlink_backoff_sends_total"))
 {
     targets.setSignals(&signals);
--- a/fulmarlink/gatewaystate.h
+++ b/fulmarlink/gatewaystate.h
@@ -99,6 +99,8 @@
     std::map<AttemptEnd, Counters::Id> grantedRetries; ///< by the end of the attempt before the retry
     Counters::Id deniedRetries; ///< requests that ended because the retry budget of their pool was used up
     Counters::Id limitedSends; ///< requests that were not sent on an open connection because the runner's limit was used up meanwhile
+    Counters::Id segmentRefusals; ///< requests that did not reach a runner because a segment of their prompts is held back
+    Counters::Id ignoredSegments; ///< segments of prompts that are not judged: their ids are malformed, or there are too many
     Counters::Id backoffSends; ///< requests that were not sent on an open connection because the runner had asked to back off meanwhile
     unsigned entries = kAssumedEntries; ///< live hosts that share budgets and limits, including this one
     RecentMaximum recentEntries; ///< of `entries`, as read from the store
--- a/fulmarlink/requestfingerprint.cpp
+++ b/fulmarlink/requestfingerprint.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::size_t kDigits = 16; ///< hexadecimal digits of each part
 constexpr int kHexBase = 16;
+constexpr XXH64_hash_t kSegmentSeed = 1; ///< requests are hashed with 0
 
 struct StateDeleter {
     void operator()(XXH3_state_t *state) const
@@ -50,6 +51,12 @@
     return {XXH3_64bits(identity.customer.data(), identity.customer.size()), hash.high64, hash.low64};
 }
 
+RequestFingerprint segmentFingerprint(std::uint64_t customer, std::string_view id)
+{
+    const XXH128_hash_t hash = XXH3_128bits_withSeed(id.data(), id.size(), kSegmentSeed);
+    return {customer, hash.high64, hash.low64};
+}
+
 std::string RequestFingerprint::text() const
 {
     std::array<char, 3 * kDigits + 1> digits{};
--- a/fulmarlink/requestfingerprint.h
+++ b/fulmarlink/requestfingerprint.h
@@ -40,4 +40,10 @@
 /** Linear in the size of @p identity. */
 RequestFingerprint fingerprintOf(const RequestIdentity &identity);
 
+/** In place of a customer's hash: requests of all customers. */
+inline constexpr std::uint64_t kAllCustomers = 0;
+
+/** The fingerprint of a prompt segment in the requests of @p customer, the hash of one customer or kAllCustomers. Differs from that of any request. */
+RequestFingerprint segmentFingerprint(std::uint64_t customer, std::string_view id);
+
 } // namespace fulmarlink
--- a/fulmarlink/resultcode.cpp
+++ b/fulmarlink/resultcode.cpp
@@ -58,7 +58,8 @@
      503,
      NotRun,
      true,
-     "This attempt was not run: runners ended while they ran the same request before. It is held back; don't repeat it soon."},
+     "This attempt was not run: runners ended while they ran the same request before, or others with a part of its prompt. It is held back; don't repeat it "
+     "soon."},
     {ResultCode::RunnersLimited,
      "runners-limited",
      503,
--- a/fulmarlink/runnerattempts.cpp
+++ b/fulmarlink/runnerattempts.cpp
@@ -35,6 +35,9 @@
         suspect.unlikely = suspect.state == SuspectState::Survived;
         suspect.unanswered = !suspect.answerStarted && suspect.state != SuspectState::InProgress;
         suspect.answerStarted = suspect.answerStarted || suspect.state != SuspectState::Lost;
+        if (suspect.answerStarted) {
+            suspect.segments.clear(); // those are judged by requests that were lost before the answer
+        }
     }
     return suspects;
 }
--- a/testing/harness/crashsimulation.cpp
+++ b/testing/harness/crashsimulation.cpp
@@ -22,6 +22,9 @@
 constexpr Duration kGiveUpTime = 1000ms; ///< after which a host gives a silent attempt up
 constexpr Duration kPropagationTime = 400ms; ///< after which all hosts know of a runner's end
 constexpr std::chrono::milliseconds kUnixStart{1'800'000'000'000};
+constexpr std::uint64_t kCustomers = 3;
+constexpr std::uint64_t kCommonSegments = 7;
+constexpr std::uint64_t kRareSegments = 101;
 
 template<typename Item>
 std::vector<Item> takeDue(std::vector<Item> &items, TimePoint now)
@@ -46,13 +49,14 @@
         totals.cut += result.cut;
         totals.heldBack += result.heldBack;
         totals.banned += result.banned;
+        totals.refusedForSegments += result.refusedForSegments;
         totals.mostOwnCrashes = std::max(totals.mostOwnCrashes, result.mostOwnCrashes);
         for (const unsigned runners : result.runnersCrashed) {
             totals.mostCrashed = std::max(totals.mostCrashed, runners);
             crashed += runners;
         }
     }
-    totals.meanCrashed = crashed / static_cast<double>(std::max<std::uint64_t>(1, plays * options.crashingRequests));
+    totals.meanCrashed = crashed / static_cast<double>(std::max<std::uint64_t>(1, plays * (options.crashingRequests + options.crashingSegments)));
     return totals;
 }
 
@@ -70,11 +74,14 @@
     for (unsigned i = 0; i < options.callers; ++i) {
         addCaller(false);
     }
-    m_result.runnersCrashed.assign(options.crashingRequests, 0);
+    m_result.runnersCrashed.assign(options.crashingRequests + options.crashingSegments, 0);
     for (unsigned i = 0; i < options.crashingRequests; ++i) {
         addCaller(true);
         m_callers.back().culpritIndex = i;
     }
+    for (unsigned i = 0; i < options.crashingSegments * options.callersPerSegment; ++i) {
+        addSegmentCaller(i % options.crashingSegments);
+    }
 }
 
 Duration CrashSimulation::between(Duration least, Duration most)
@@ -89,7 +96,37 @@
 
 CrashSuspect CrashSimulation::suspectOf(const Caller &caller) const
 {
-    return {RequestFingerprint{1, 2, caller.request}, "customer", "stream", false};
+    CrashSuspect suspect{RequestFingerprint{1 + caller.request % kCustomers, 2, caller.request}, "customer", "stream", false};
+    suspect.segments = segmentsOf(caller);
+    return suspect;
+}
+
+/** Segments that all prompts share, a few, and hardly any. */
+std::vector<std::string> CrashSimulation::segmentsOf(const Caller &caller) const
+{
+    if (m_options.crashingSegments == 0 && !m_options.sharesSegments) {
+        return {};
+    }
+    std::vector<std::string> result{"all", "common" + std::to_string(caller.request % kCommonSegments)};
+    if (caller.crashingSegment != kNone) {
+        result.push_back("crashing" + std::to_string(caller.crashingSegment));
+    }
+    result.push_back("rare" + std::to_string(caller.request % kRareSegments));
+    return result;
+}
+
+CrashKeys CrashSimulation::keysOf(const Caller &caller) const
+{
+    const CrashSuspect suspect = suspectOf(caller);
+    return crashKeysOf(suspect.fingerprint, suspect.segments);
+}
+
+void CrashSimulation::addSegmentCaller(std::size_t segment)
+{
+    addCaller(true);
+    m_callers.back().repeatsLeft = m_options.callerRepeats;
+    m_callers.back().crashingSegment = segment;
+    m_callers.back().culpritIndex = m_options.crashingRequests + segment;
 }
 
 void CrashSimulation::addCaller(bool crashes)
@@ -214,6 +251,9 @@
     }
     if (*attempt.firstEventAt <= m_now) {
         m_hosts[caller.host]->attempts.markAnswering(attempt.token);
+        if (!attempt.eventSeen) {
+            m_hosts[caller.host]->history.segmentsAnswered(keysOf(caller).segments, m_now);
+        }
         attempt.eventSeen = true;
         caller.answerBegun = true;
     }
@@ -240,14 +280,21 @@
 void CrashSimulation::sendToRunner(Caller &caller)
 {
     Host &host = *m_hosts[caller.host];
-    const CrashVerdict verdict = host.history.status(suspectOf(caller).fingerprint, m_now).verdict;
+    const CrashStatus status = host.history.gravestStatus(keysOf(caller), m_now);
+    const CrashVerdict verdict = status.verdict;
+    const bool refused = verdict == CrashVerdict::HeldBack || verdict == CrashVerdict::Banned;
+    m_result.refusedForSegments += refused && !caller.crashes && !status.segment.empty() ? 1 : 0;
     std::vector<std::size_t> up;
     for (std::size_t i = 0; i < m_runners.size(); ++i) {
         if (m_runners[i].up && i != caller.attempt.runner) {
             up.push_back(i);
         }
     }
-    if (verdict == CrashVerdict::HeldBack || verdict == CrashVerdict::Banned || up.empty()) {
+    if (verdict == CrashVerdict::TrialDue && !claimTrial(status)) {
+        finish(caller, false);
+        return;
+    }
+    if (refused || up.empty()) {
         finish(caller, false);
         return;
     }
@@ -269,6 +316,22 @@
     ++caller.ran;
 }
 
+/** Creates the record of the next trial, which only one host can. */
+bool CrashSimulation::claimTrial(const CrashStatus &status)
+{
+    CrashRecord record;
+    record.kind = CrashRecordKind::Trial;
+    record.name = "trial." + status.trialKey.text() + '.' + std::to_string(status.trials + 1);
+    record.suspects.push_back({status.trialKey, {}, {}, false});
+    if (!m_trials.insert(record.name).second) {
+        return false;
+    }
+    for (const auto &host : m_hosts) {
+        host->history.add(record, m_now);
+    }
+    return true;
+}
+
 void CrashSimulation::attemptBroken(Caller &caller, RunnerAttempts::Outcome outcome, bool runnerEnded)
 {
     Host &host = *m_hosts[caller.host];
@@ -301,13 +364,18 @@
 {
     caller.attempt = {};
     if (!answered && caller.repeatsLeft > 0) {
-        caller.repeatsLeft -= caller.crashes ? 0 : 1;
+        caller.repeatsLeft -= caller.crashes && caller.crashingSegment == kNone ? 0 : 1;
         caller.sendAt = m_now + (caller.crashes ? between(kPropagationTime, 2 * kPropagationTime) : between(50ms, 600ms));
         return;
     }
-    ++(answered ? m_result.answered : m_result.cut);
     caller.request = ++m_nextRequest;
     caller.repeatsLeft = m_options.callerRepeats;
+    if (caller.crashes) {
+        m_crashingRequests.insert(caller.request);
+        caller.sendAt = m_now + between(m_options.segmentPause / 2, m_options.segmentPause * 3 / 2);
+        return;
+    }
+    ++(answered ? m_result.answered : m_result.cut);
     caller.sendAt = m_now + between(50ms, 300ms);
 }
 
--- a/testing/harness/crashsimulation.h
+++ b/testing/harness/crashsimulation.h
@@ -22,6 +22,10 @@
     unsigned callerRepeats = 1; ///< of one such stream, after a failure
     unsigned crashingRequests = 0; ///< repeated by their callers until the end
     bool crashLate = false; ///< they crash a runner after the first event of their answer, not as they begin
+    unsigned crashingSegments = 0; ///< prompt segments that crash each runner that begins a request with them; with any, all prompts have shared segments
+    unsigned callersPerSegment = 2; ///< of different requests with each of these, in progress or waiting at any time
+    Duration segmentPause = std::chrono::milliseconds(600); ///< mean, until the next request of such a caller
+    bool sharesSegments = false; ///< all prompts have shared segments also without crashing ones
     Duration waveInterval = std::chrono::milliseconds(1500); ///< between waves; 0: none
     unsigned waveSize = 3; ///< runners that end in a wave, within kWaveSpread
     Duration restartDelay = std::chrono::milliseconds(1000);
@@ -38,8 +42,9 @@
     unsigned cut = 0; ///< such callers that were left without a whole answer, for any reason
     unsigned heldBack = 0; ///< such streams that some host held back but did not ban
     unsigned banned = 0; ///< such streams that some host banned
+    unsigned refusedForSegments = 0; ///< attempts of callers of such streams that a host refused for a segment of their prompts
     unsigned mostOwnCrashes = 0; ///< runners that ended under one attempt of one caller, at most
-    std::vector<unsigned> runnersCrashed; ///< by each crashing request
+    std::vector<unsigned> runnersCrashed; ///< by each crashing request, and then by each crashing segment
 };
 
 /** Sums and maxima over plays. */
@@ -48,9 +53,10 @@
     unsigned cut = 0;
     unsigned heldBack = 0;
     unsigned banned = 0;
+    unsigned refusedForSegments = 0;
     unsigned mostOwnCrashes = 0;
-    unsigned mostCrashed = 0; ///< runners that one crashing request ended, at most
-    double meanCrashed = 0; ///< runners that one crashing request ended
+    unsigned mostCrashed = 0; ///< runners that one crashing request or segment ended, at most
+    double meanCrashed = 0; ///< runners that one crashing request or segment ended
 };
 
 /** Plays the seeds from 1 to @p plays. */
@@ -105,6 +111,7 @@
         bool answerBegun = false;
         Attempt attempt;
         std::size_t culpritIndex = kNone;
+        std::size_t crashingSegment = kNone; ///< that its prompts contain
     };
 
     struct Detection {
@@ -130,7 +137,10 @@
     Duration between(Duration least, Duration most);
     std::size_t below(std::size_t bound);
     CrashSuspect suspectOf(const Caller &caller) const;
+    std::vector<std::string> segmentsOf(const Caller &caller) const;
+    CrashKeys keysOf(const Caller &caller) const;
     void addCaller(bool crashes);
+    void addSegmentCaller(std::size_t segment);
     void restartRunners();
     void startWave();
     void endRunner(std::size_t index, std::size_t culpritIndex);
@@ -138,6 +148,7 @@
     void advance(Caller &caller);
     void sendFromCaller(Caller &caller);
     void sendToRunner(Caller &caller);
+    bool claimTrial(const CrashStatus &status);
     void attemptBroken(Caller &caller, RunnerAttempts::Outcome outcome, bool runnerEnded);
     void finish(Caller &caller, bool answered);
     void detectEnds();
@@ -156,6 +167,7 @@
     std::vector<Delivery> m_deliveries;
     std::vector<Leftover> m_leftovers;
     std::set<std::uint64_t> m_crashingRequests;
+    std::set<std::string> m_trials; ///< names of their records
     std::map<std::uint64_t, CrashVerdict> m_worstVerdicts; ///< of streams that crash no runner, by request
     std::uint64_t m_nextRequest = 0;
     std::uint64_t m_records = 0;
--- a/testing/platformcodec_test.cpp
+++ b/testing/platformcodec_test.cpp
@@ -83,6 +83,7 @@
     suspect.closedInOrder = true;
     suspect.exposure = std::chrono::milliseconds(250);
     suspect.survivors = {{"i-2", 8}, {"i-3", 9}};
+    suspect.segments = {"5c1e07a2", "91bd3f06"};
     record.suspects.push_back(suspect);
     std::string problem;
     const auto decoded = decodeCrashRecord(record.name, encodeCrashRecord(record), problem);
@@ -98,6 +99,7 @@
     EXPECT_EQ(decoded->completionAge, record.completionAge);
     EXPECT_EQ(result.exposure, suspect.exposure);
     EXPECT_EQ(result.survivors, suspect.survivors);
+    EXPECT_EQ(result.segments, suspect.segments);
 }
 
 // Records of earlier versions have neither exposure nor survivors, and one field more.
@@ -202,6 +204,7 @@
         many += "ab:1,";
     }
     EXPECT_EQ(segments(many + "e4402b7d:250").size(), 16U);
+    EXPECT_EQ(protocol.readRequest(request).ignoredSegments, 984U);
 }
 
 TEST(PlatformCodec, NotRunRequiresMisdirectedStatusOrNotExecutedHeader)
