Streams without length or chunks: one that ends before its first event has been broken off

Callers saw: a runner that ends after the head of a stream that only the end of the connection ends, gave them an empty stream as a complete 200. The host took it for an answer, which cleared the request and its prompt's segments of all crashes, so that such requests ended 24 of 24 runners.

Cause: at the end of such a connection the parser is done, and no event is left over. A stream that ended inside an event was broken off already, but did not count as lost, so its runner was not looked at.

Now both are broken off, resumed or sent again where that is allowed, and the connection counts as closed in order.

--- a/fulmarlink/gatewayrelay.cpp
+++ b/fulmarlink/gatewayrelay.cpp
@@ -287,8 +287,12 @@
             co_return AttemptEnd::Broken;
         }
     }
-    if (m_events.partial()) {
-        m_reason = "stream: ended inside an event";
+    // Without a length or chunks the end of the connection ends the stream, also if the runner broke it off.
+    const bool startsAtFirstEvent = m_callerRequest.lastEventId.empty();
+    const bool lacksEvents = parser.need_eof() && m_events.events() == 0 && startsAtFirstEvent;
+    if (m_events.partial() || lacksEvents) {
+        m_reason = lacksEvents ? "stream: ended before its first event" : "stream: ended inside an event";
+        m_connectionEnd = parser.need_eof() ? ConnectionEnd::InOrder : ConnectionEnd::Open;
         m_events.reset();
         co_return AttemptEnd::Broken;
     }
--- a/standins/platformfleet.cpp
+++ b/standins/platformfleet.cpp
@@ -56,6 +56,20 @@
     return at == std::string::npos ? 0 : std::strtoull(query.c_str() + at + name.size(), nullptr, 10);
 }
 
+/** @p text as one chunk of a chunked body. */
+std::string chunkOf(const std::string &text)
+{
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+    return size + text + "\r\n";
+}
+
+bool sendsStream(RunnerAct act)
+{
+    return act == RunnerAct::Answer || act == RunnerAct::CutStream || act == RunnerAct::WithoutLength || act == RunnerAct::CutStreamWithoutLength
+           || act == RunnerAct::HeadWithoutLength;
+}
+
 /** A complete response to a request that was never made. */
 std::string strayResponse()
 {
@@ -350,8 +364,7 @@
 asio::awaitable<void> PlatformRunner::crash(boost::beast::tcp_stream &stream, const HttpRequest &request)
 {
     if (request.target().starts_with("/stream/")) {
-        co_await write(stream,
-                       head(request, "200 OK", line(wire_names::kServerSeal, m_id) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"));
+        co_await write(stream, streamHead(request, streamsHaveLength));
     }
     if (!m_acceptor.is_open()) {
         co_return; // another request has already ended the runner
@@ -382,6 +395,12 @@
            + line("Keep-Alive", "timeout=5") + runnerHeaderLines() + extra;
 }
 
+std::string PlatformRunner::streamHead(const HttpRequest &request, bool chunked) const
+{
+    const std::string framing = chunked ? line("Transfer-Encoding", "chunked") : line("Connection", "close");
+    return head(request, "200 OK", line(wire_names::kServerSeal, m_id) + line("Content-Type", "text/event-stream") + framing + "\r\n");
+}
+
 /** Header lines about the runner itself that every response carries. */
 std::string PlatformRunner::runnerHeaderLines() const
 {
@@ -411,7 +430,7 @@
     }
     attemptsRun.push_back(header(request, wire_names::kAttemptId));
     co_await pause(workTime);
-    if (request.target().starts_with("/stream/") && (act == RunnerAct::Answer || act == RunnerAct::CutStream)) {
+    if (request.target().starts_with("/stream/") && sendsStream(act)) {
         co_return co_await this->stream(stream, request, act);
     }
     bool open = true;
@@ -463,17 +482,20 @@
 {
     const std::string last = header(request, wire_names::kLastEventId);
     const unsigned first = last.empty() ? 0 : static_cast<unsigned>(std::stoul(last)) + 1;
-    bool open = co_await write(
-        stream, head(request, "200 OK", line(wire_names::kServerSeal, m_id) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"));
+    const bool unframedAct = act == RunnerAct::WithoutLength || act == RunnerAct::CutStreamWithoutLength || act == RunnerAct::HeadWithoutLength;
+    const bool chunked = streamsHaveLength && !unframedAct;
+    bool open = co_await write(stream, streamHead(request, chunked));
+    if (act == RunnerAct::HeadWithoutLength) {
+        co_return false;
+    }
     for (unsigned i = first; i < events && open; ++i) {
         std::string event = "id: " + std::to_string(i) + "\ndata: part " + std::to_string(i) + "\n\n";
-        const bool cut = act == RunnerAct::CutStream && i == first + 2;
+        const bool cut = (act == RunnerAct::CutStream || act == RunnerAct::CutStreamWithoutLength) && i == first + 2;
         if (cut) {
             event.resize(event.size() / 2);
         }
-        char size[16];
-        std::snprintf(size, sizeof size, "%zx\r\n", event.size());
-        open = co_await write(stream, size + event + "\r\n");
+        const std::string bytes = chunked ? chunkOf(event) : event;
+        open = co_await write(stream, bytes);
         if (cut) {
             co_return false;
         }
@@ -483,6 +505,9 @@
         ++abandonedStreams;
         co_return false;
     }
+    if (!chunked) {
+        co_return false;
+    }
     co_return co_await write(stream, "0\r\n\r\n");
 }
 
--- a/standins/platformfleet.h
+++ b/standins/platformfleet.h
@@ -90,6 +90,8 @@
     StrayLast, ///< sends a second response after the correct one
     Garbage, ///< sends bytes that are not an HTTP response
     CutStream, ///< closes a stream in the middle of the third event that it sends
+    CutStreamWithoutLength, ///< the same, and the stream has no chunks: only the end of the connection ends it
+    HeadWithoutLength, ///< closes the connection after the head of a stream without chunks
     Crash, ///< runs it, and the runner process ends
 };
 
@@ -105,6 +107,7 @@
     /** Simulates the end of the process: closes open connections and refuses new ones. */
     void end();
     bool stalled = false; ///< accepts connections and reads nothing
+    bool streamsHaveLength = true; ///< false: streams have no chunks, and only the end of the connection ends them
     bool silentCrash = false; ///< end() leaves open connections open, so callers aren't notified
     /** Sets the id of the next incarnation; call listen() afterwards. */
     void setId(std::string id);
@@ -137,6 +140,7 @@
     boost::asio::awaitable<bool> stream(boost::beast::tcp_stream &stream, const HttpRequest &request, RunnerAct act);
     boost::asio::awaitable<bool> write(boost::beast::tcp_stream &stream, std::string text);
     boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
+    std::string streamHead(const HttpRequest &request, bool chunked) const;
     std::string head(const HttpRequest &request, const std::string &status, const std::string &extra) const;
     std::string runnerHeaderLines() const;
 
--- a/testing/crashingsegment_test.cpp
+++ b/testing/crashingsegment_test.cpp
@@ -114,15 +114,17 @@
 {
 };
 
-const auto kCases = ::testing::Values(Case{"FiveHostsStream", {.gateways = 5, .runners = 8}, "/stream/", 258ms, 24, false},
-                                      Case{"FiveHostsStreamOfSeveralCustomers", {.gateways = 5, .runners = 8}, "/stream/", 258ms, 24, true},
-                                      Case{"FiveHostsIdempotent", {.gateways = 5, .runners = 8}, "/again/", 258ms, 24, false},
-                                      Case{"FiveHostsOnce", {.gateways = 5, .runners = 8}, "/once/", 258ms, 24, true},
-                                      Case{"FiveHostsNewIds", {.gateways = 5, .runners = 8, .sameId = false}, "/stream/", 258ms, 24, false},
-                                      Case{"FiveHostsInGroup", {.gateways = 5, .runners = 8, .group = true}, "/stream/", 258ms, 24, true},
-                                      Case{"FiveHostsSeldom", {.gateways = 5, .runners = 8}, "/stream/", 908ms, 12, false},
-                                      Case{"OneHost", {.gateways = 1, .runners = 8}, "/stream/", 258ms, 24, false},
-                                      Case{"SixteenHosts", {.gateways = 16, .runners = 16}, "/stream/", 258ms, 24, true});
+const auto kCases
+    = ::testing::Values(Case{"FiveHostsStream", {.gateways = 5, .runners = 8}, "/stream/", 258ms, 24, false},
+                        Case{"FiveHostsStreamOfSeveralCustomers", {.gateways = 5, .runners = 8}, "/stream/", 258ms, 24, true},
+                        Case{"FiveHostsIdempotent", {.gateways = 5, .runners = 8}, "/again/", 258ms, 24, false},
+                        Case{"FiveHostsOnce", {.gateways = 5, .runners = 8}, "/once/", 258ms, 24, true},
+                        Case{"FiveHostsNewIds", {.gateways = 5, .runners = 8, .sameId = false}, "/stream/", 258ms, 24, false},
+                        Case{"FiveHostsInGroup", {.gateways = 5, .runners = 8, .group = true}, "/stream/", 258ms, 24, true},
+                        Case{"FiveHostsStreamsWithoutLength", {.gateways = 5, .runners = 8, .streamsHaveLength = false}, "/stream/", 258ms, 24, false},
+                        Case{"FiveHostsSeldom", {.gateways = 5, .runners = 8}, "/stream/", 908ms, 12, false},
+                        Case{"OneHost", {.gateways = 1, .runners = 8}, "/stream/", 258ms, 24, false},
+                        Case{"SixteenHosts", {.gateways = 16, .runners = 16}, "/stream/", 258ms, 24, true});
 
 } // namespace
 
--- a/testing/harness/gatewayfleet.cpp
+++ b/testing/harness/gatewayfleet.cpp
@@ -74,6 +74,7 @@
         PlatformRunner &runner = *m_runners.back();
         runner.workTime = options.workTime;
         runner.silentCrash = options.silentCrash;
+        runner.streamsHaveLength = options.streamsHaveLength;
         runner.act = [this, i](const HttpRequest &request) {
             return chooseAct(i, request);
         };
--- a/testing/harness/gatewayfleet.h
+++ b/testing/harness/gatewayfleet.h
@@ -27,6 +27,7 @@
     std::chrono::milliseconds entryExpiry{700}; ///< from a runner's crash to the removal of its entry, if it restarts with a new id
     std::chrono::milliseconds holdTime{300'000}; ///< CrashPolicy::holdTime of the gateways
     bool silentCrash = false; ///< when a runner crashes, only the connection of the request that crashed it is closed
+    bool streamsHaveLength = true; ///< of the runners
     unsigned maxConnections = 1000; ///< configured limit of a runner's connections from all hosts together
     double retryRatio = 10'000; ///< of the gateways; by default the retry budget keeps no request from the runners
     double retrySlack = 10'000; ///< of the gateways
