Open connections of callers are bounded; what finds no room is closed unread

The platform may hand most new connections of a region to one host. The gateway accepted them without a bound, until descriptors run out for runners and the store. Half of the process's descriptors (max_open_files, from the platform) are for callers: a further connection takes the place of the longest idle one, or is closed without reading from it.

--- a/fulmarlink/gatewayserver.cpp
+++ b/fulmarlink/gatewayserver.cpp
@@ -96,6 +96,7 @@
     GatewayExchange *exchange = nullptr; ///< the request in progress; null: none
     bool watching = false;
     bool reading = false; ///< at least one byte of the current request has arrived
+    TimePoint lastUsed{}; ///< when it was opened or its last request ended
 
     /** True if no request is in progress and no byte of one has arrived, read or unread. */
     bool idle()
@@ -111,6 +112,9 @@
     , m_acceptor(executor)
     , m_accepted(state.counters.registerCounter("fulmarlink_caller_connections_total"))
     , m_acceptFailures(state.counters.registerCounter("fulmarlink_accept_failures_total"))
+    , m_open(state.counters.registerCounter("fulmarlink_caller_connections_open"))
+    , m_closedUnread(state.counters.registerCounter("fulmarlink_caller_connections_unread_total"))
+    , m_closedIdle(state.counters.registerCounter("fulmarlink_caller_connections_evicted_total"))
     , m_exceptions(state.counters.registerCounter("fulmarlink_exceptions_total"))
 {
 }
@@ -158,14 +162,51 @@
             continue;
         }
         m_state.counters.add(m_accepted);
+        if (!makeRoom()) {
+            m_state.counters.add(m_closedUnread);
+            continue; // closes the socket
+        }
         auto connection = std::make_shared<Connection>(std::move(socket));
         asio::co_spawn(m_executor, serve(std::move(connection)), asio::detached);
     }
 }
 
+/** Returns false if the maximum number of connections is open and none of them is idle. */
+bool GatewayServer::makeRoom()
+{
+    const bool hasRoom = m_connections.size() < m_state.settings.maxCallerConnections;
+    Connection *const idle = hasRoom ? nullptr : longestIdle();
+    const bool full = !hasRoom && idle == nullptr;
+    if (full != m_full) {
+        m_full = full;
+        logWarning("caller-connections", {{"full", full ? "true" : "false"}, {"open", std::to_string(m_connections.size())}});
+    }
+    if (idle != nullptr) {
+        m_state.counters.add(m_closedIdle);
+        idle->stream.close();
+        m_connections.erase(idle);
+    }
+    return !full;
+}
+
+/** The connection that has been without a request for longest; null if there is none, or one has just begun to arrive there. */
+GatewayServer::Connection *GatewayServer::longestIdle() const
+{
+    Connection *result = nullptr;
+    for (Connection *connection : m_connections) {
+        const bool waits = connection->exchange == nullptr && !connection->reading;
+        if (waits && (result == nullptr || connection->lastUsed < result->lastUsed)) {
+            result = connection;
+        }
+    }
+    return result != nullptr && result->idle() ? result : nullptr;
+}
+
 asio::awaitable<void> GatewayServer::serve(std::shared_ptr<Connection> connection)
 {
+    connection->lastUsed = m_state.clock.now();
     m_connections.insert(connection.get());
+    m_state.counters.set(m_open, m_connections.size());
     tuneSocket(connection->stream);
     std::exception_ptr failure;
     try {
@@ -183,6 +224,7 @@
     }
     connection->exchange = nullptr;
     m_connections.erase(connection.get());
+    m_state.counters.set(m_open, m_connections.size());
     connection->stream.close();
 }
 
@@ -283,6 +325,7 @@
     const bool again = co_await exchange.run();
     connection->exchange = nullptr;
     connection->reading = false;
+    connection->lastUsed = m_state.clock.now();
     co_return again;
 }
 
--- a/fulmarlink/gatewayserver.h
+++ b/fulmarlink/gatewayserver.h
@@ -15,6 +15,9 @@
 /**
  * HTTP/1.1 server for callers. Reads complete requests within the configured limits, passes each
  * to a GatewayExchange, and notifies the exchange when its caller disconnects.
+ *
+ * At most GatewaySettings::maxCallerConnections connections are open. A further one takes the place of an idle
+ * one; if there is none, it is closed without reading from it, so that its caller may try another host at once.
  */
 class GatewayServer
 {
@@ -33,6 +36,8 @@
     using RequestParser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     boost::asio::awaitable<void> acceptLoop();
+    bool makeRoom();
+    Connection *longestIdle() const;
     boost::asio::awaitable<void> serve(std::shared_ptr<Connection> connection);
     boost::asio::awaitable<bool> serveRequest(const std::shared_ptr<Connection> &connection);
     boost::asio::awaitable<bool> readRequest(Connection &connection, RequestParser &parser);
@@ -45,6 +50,10 @@
     std::unordered_set<Connection *> m_connections;
     Counters::Id m_accepted;
     Counters::Id m_acceptFailures;
+    Counters::Id m_open;
+    Counters::Id m_closedUnread; ///< new connections for which there was no room
+    Counters::Id m_closedIdle; ///< idle connections that were closed to make room
+    bool m_full = false; ///< the last new connection found no room
     Counters::Id m_exceptions;
 };
 
--- a/fulmarlink/gatewaysettings.cpp
+++ b/fulmarlink/gatewaysettings.cpp
@@ -11,6 +11,9 @@
 
 constexpr std::uint64_t kMaxMs = 3'600'000;
 constexpr std::uint64_t kMaxRetentionMs = 604'800'000; ///< one week; limits the records that a starting host has to read
+constexpr std::uint64_t kDefaultOpenFiles = 4096;
+constexpr std::uint64_t kMinOpenFiles = 64;
+constexpr std::uint64_t kMaxOpenFiles = 10'000'000;
 constexpr double kMaxRatio = 10;
 constexpr double kMaxSlack = 1e6;
 constexpr double kMaxWeight = 1e3;
@@ -52,7 +55,9 @@
 {
     GatewaySettings settings;
     const YamlReader reader = YamlReader::parse(text, file, errors);
-    reader.keys({"host", "zone", "log_level", "listen", "store", "bounds", "crashes", "planner", "link_mbps"});
+    reader.keys({"host", "zone", "log_level", "listen", "store", "bounds", "crashes", "planner", "link_mbps", "max_open_files"});
+    const std::uint64_t openFiles = reader.number("max_open_files", kDefaultOpenFiles, kMinOpenFiles, kMaxOpenFiles);
+    settings.maxCallerConnections = static_cast<std::size_t>(openFiles) / 2;
     settings.linkMbps = reader.real("link_mbps", settings.linkMbps, 0, kMaxLinkMbps);
     settings.host = reader.requiredText("host");
     settings.zone = reader.requiredText("zone");
--- a/fulmarlink/gatewaysettings.h
+++ b/fulmarlink/gatewaysettings.h
@@ -20,6 +20,7 @@
     std::string zone;
     std::string logLevel = "info";
     HttpTarget callers; ///< listening address for callers
+    std::size_t maxCallerConnections = 2048; ///< open at a time; the rest of the process's descriptors is left to runners and the store
     HttpTarget readiness; ///< listening address of the platform's readiness probe
     HttpTarget metrics; ///< port 0: no metrics server
     HttpTarget store;
--- a/testing/gatewaysettings_test.cpp
+++ b/testing/gatewaysettings_test.cpp
@@ -78,6 +78,7 @@
                                                        {"port_range.0", "7340"},
                                                        {"platform.addr", "10.200.1.7:8223"},
                                                        {"limits.link_mbps", "1000.0"},
+                                                       {"limits.max_fds", "4100"},
                                                        {"bounds.revoke_ms", "5000"},
                                                        {"bounds.config_ms", "3000"},
                                                        {"bounds.drain_ms", "3000"},
@@ -103,6 +104,7 @@
     EXPECT_EQ(settings.configurationBound.count(), 3000);
     EXPECT_DOUBLE_EQ(settings.retrySlack, 124);
     EXPECT_DOUBLE_EQ(settings.linkMbps, 1000);
+    EXPECT_EQ(settings.maxCallerConnections, 2050U);
 }
 
 TEST(GatewaySettings, LinkSpeedIsEmptyOrANumber)
