Crash verdicts: a segment's two keys don't explain each other, and other hosts' answers count as answers before

Operators did not see a segment that is held back for one customer: taken alone, its key for the customer was explained by its key for all customers, which needs a second customer. And a segment that this host has not seen answered counted as never answered, though another host had told that it was. Red before: SegmentCrashes.SegmentHeldBackForOneCustomer..., .SegmentAnsweredOnAnotherHost...

--- a/fulmarlink/crashhistory.h
+++ b/fulmarlink/crashhistory.h
@@ -205,6 +205,7 @@
     bool holdsBack(const CrashRecord &record) const;
     bool holdsBack(const RequestFingerprint &key) const;
     std::optional<TimePoint> lastAnswer(const RequestFingerprint &key) const;
+    bool answeredBefore(const RequestFingerprint &key) const;
     CrashStatus requestStatus(const Request &request, TimePoint now) const;
     CrashStatus segmentStatus(const RequestFingerprint &segment, const CrashKeys &request, TimePoint now) const;
     Request unexplainedCrashes(const RequestFingerprint &segment, const Request &crashed, const CrashKeys &request) const;
--- a/fulmarlink/crashverdicts.cpp
+++ b/fulmarlink/crashverdicts.cpp
@@ -320,18 +320,18 @@
  */
 bool CrashHistory::explainsBetter(const RequestFingerprint &other, const RequestFingerprint &segment) const
 {
+    const bool sameSegment = other.high == segment.high && other.low == segment.low;
     const bool isRequest = m_requests.at(other).segment.empty();
-    if (!isRequest && other.customer != segment.customer && other.customer != kAllCustomers) {
+    const bool comparable = isRequest || other.customer == segment.customer || other.customer == kAllCustomers;
+    if (sameSegment || !comparable) {
         return false;
     }
     const std::set<TargetIncarnation> otherCrashes = crashesBeforeAnswer(other);
     if (otherCrashes.size() < m_policy.holdAfterCrashes) {
         return false;
     }
-    const bool otherAnswered = lastAnswer(other).has_value();
-    const bool answered = lastAnswer(segment).has_value();
-    if (otherAnswered != answered) {
-        return answered;
+    if (answeredBefore(other) != answeredBefore(segment)) {
+        return answeredBefore(segment);
     }
     const std::set<TargetIncarnation> crashes = crashesBeforeAnswer(segment);
     if (otherCrashes.size() != crashes.size()) {
@@ -340,13 +340,19 @@
     return otherCrashes == crashes && lostRequests(other) <= lostRequests(segment);
 }
 
+/** Whether a request with the segment was ever answered, as far as this host remembers or was told. */
+bool CrashHistory::answeredBefore(const RequestFingerprint &key) const
+{
+    return lastAnswer(key) || m_requests.at(key).completedAt > std::chrono::milliseconds(0);
+}
+
 /** Whether requests were lost there with a segment that has never been answered and has more crashes: then the runner did not end by itself. */
 bool CrashHistory::isCrashOfSuspectedSegment(const TargetIncarnation &incarnation) const
 {
     const auto lost = m_lostAt.find(incarnation);
     return lost != m_lostAt.end() && std::ranges::any_of(lost->second, [this](const RequestFingerprint &key) {
                const bool isSegment = !m_requests.at(key).segment.empty();
-               return isSegment && !lastAnswer(key) && crashesBeforeAnswer(key).size() >= m_policy.holdAfterCrashes;
+               return isSegment && !answeredBefore(key) && crashesBeforeAnswer(key).size() >= m_policy.holdAfterCrashes;
            });
 }
 
@@ -390,7 +396,7 @@
         lastCrash = std::max(lastCrash, crash.receivedAt);
     }
     const bool trialFailed = crashed.lastTrialAt > answeredAt.value_or(TimePoint{}) && lastCrash > crashed.lastTrialAt;
-    const bool runnersMayBeAtFault = answeredAt || status.chance > 0;
+    const bool runnersMayBeAtFault = answeredBefore(segment) || status.chance > 0;
     if (!runnersMayBeAtFault || trialFailed) {
         return;
     }
--- a/testing/segmentcrashes_test.cpp
+++ b/testing/segmentcrashes_test.cpp
@@ -295,6 +295,36 @@
     EXPECT_EQ(verdict({"bad"}, 6s), CrashVerdict::Clear);
 }
 
+// Guards against a segment that is held back for one customer, and that operators don't see.
+TEST_F(SegmentCrashes, SegmentHeldBackForOneCustomerIsListedWithThatCustomer)
+{
+    addCrash(1, 0s, {lost(1, {"a", "bad"})});
+    addCrash(2, 5s, {lost(2, {"b", "bad"})});
+    const std::vector<HeldRequest> held = history.heldRequests(at(5s));
+    ASSERT_EQ(held.size(), 1U);
+    EXPECT_EQ(held.front().status.segment, "bad");
+    EXPECT_EQ(held.front().customer, "customer-7");
+}
+
+// Another host has told that the common segment was answered, so it is not blamed here either.
+TEST_F(SegmentCrashes, SegmentAnsweredOnAnotherHostIsNotBlamedForCrashesOfTwoOthers)
+{
+    CrashRecord cleared = crash(90, -60s, {lost(90, {})});
+    cleared.kind = CrashRecordKind::Cleared;
+    cleared.completionAge = 0ms;
+    cleared.suspects.front().fingerprint = segmentFingerprint(kCustomer, "common");
+    cleared.suspects.push_back(cleared.suspects.front());
+    cleared.suspects.back().fingerprint = segmentFingerprint(kAllCustomers, "common");
+    history.add(cleared, at(0s));
+    addCrash(1, 60s, {lost(1, {"common", "bad"})});
+    addCrash(2, 65s, {lost(2, {"common", "worse"})});
+    addCrash(3, 70s, {lost(3, {"common", "bad"})});
+    addCrash(4, 75s, {lost(4, {"common", "worse"})});
+    EXPECT_EQ(verdict({"common", "bad"}, 75s), CrashVerdict::HeldBack);
+    EXPECT_EQ(verdict({"common", "worse"}, 75s), CrashVerdict::HeldBack);
+    EXPECT_EQ(verdict({"common"}, 75s), CrashVerdict::Clear);
+}
+
 TEST(AnswerTimes, ForgetsThoseAnsweredLongestAgo)
 {
     AnswerTimes times(100);
