--- a/testing/segmentcrashes_test.cpp
+++ b/testing/segmentcrashes_test.cpp
@@ -51,18 +51,18 @@
 protected:
     SegmentCrashes()
     {
-        history.setRunnerCount(16);
+        m_history.setRunnerCount(16);
     }
 
     void addCrash(unsigned runner, std::chrono::milliseconds time, std::vector<CrashSuspect> suspects)
     {
-        history.add(crash(runner, time, std::move(suspects)), at(time));
+        m_history.add(crash(runner, time, std::move(suspects)), at(time));
     }
 
     /** The status of a new request with these segments. */
     CrashStatus status(const Segments &segments, std::chrono::milliseconds time, std::uint64_t customer = kCustomer)
     {
-        return history.gravestStatus(crashKeysOf({customer, 2, ++m_requests}, segments), at(time));
+        return m_history.gravestStatus(crashKeysOf({customer, 2, ++m_requests}, segments), at(time));
     }
 
     CrashVerdict verdict(const Segments &segments, std::chrono::milliseconds time, std::uint64_t customer = kCustomer)
@@ -72,10 +72,10 @@
 
     void answer(const Segments &segments, std::chrono::milliseconds time, std::uint64_t customer = kCustomer)
     {
-        history.segmentsAnswered(crashKeysOf({customer, 2, ++m_requests}, segments).segments, at(time));
+        m_history.segmentsAnswered(crashKeysOf({customer, 2, ++m_requests}, segments).segments, at(time));
     }
 
-    CrashHistory history;
+    CrashHistory m_history;
 
 private:
     std::uint64_t m_requests = 1000;
@@ -142,7 +142,7 @@
     const CrashKeys keys = crashKeysOf({kCustomer, 2, 99}, Segments{"new"});
     EXPECT_EQ(elsewhere.gravestStatus(keys, at(3s)).verdict, CrashVerdict::Banned);
     unsigned records = 0;
-    for (CrashRecord &clearance : history.takeClearances()) {
+    for (CrashRecord &clearance : m_history.takeClearances()) {
         clearance.name = "cleared." + std::to_string(++records);
         clearance.host = "entry-1";
         clearance.writtenAt = 1'002'000ms;
@@ -198,7 +198,7 @@
 {
     addCrash(1, 0s, {lost(1, {"a", "b"})});
     addCrash(2, 5s, {lost(1, {"a", "b"})});
-    EXPECT_EQ(history.status({kCustomer, 2, 1}, at(5s)).verdict, CrashVerdict::HeldBack);
+    EXPECT_EQ(m_history.status({kCustomer, 2, 1}, at(5s)).verdict, CrashVerdict::HeldBack);
     EXPECT_EQ(verdict({"a", "b"}, 5s), CrashVerdict::Clear);
     addCrash(3, 10s, {lost(3, {"b"})});
     EXPECT_EQ(verdict({"a", "b"}, 10s), CrashVerdict::Banned);
@@ -220,7 +220,7 @@
     trial.kind = CrashRecordKind::Trial;
     trial.incarnations.clear();
     trial.suspects.front().fingerprint = status({"common"}, 82s).trialKey;
-    history.add(trial, at(82s));
+    m_history.add(trial, at(82s));
     EXPECT_EQ(verdict({"common"}, 82s), CrashVerdict::HeldBack) << "one host at a time";
     EXPECT_EQ(verdict({"common"}, 92s), CrashVerdict::TrialDue) << "the trial may not have reached a runner";
     addCrash(60, 92s, {lost(99, {"common"})});
@@ -279,7 +279,7 @@
 {
     addCrash(1, 0s, {lost(1, {"a", "bad"}, kCustomer)});
     addCrash(2, 5s, {lost(2, {"b", "bad"}, kOtherCustomer)});
-    const std::vector<HeldRequest> held = history.heldRequests(at(5s));
+    const std::vector<HeldRequest> held = m_history.heldRequests(at(5s));
     ASSERT_EQ(held.size(), 1U);
     EXPECT_EQ(held.front().status.segment, "bad");
     EXPECT_EQ(held.front().customer, "") << "of all customers";
@@ -290,8 +290,8 @@
     release.host = "operator";
     release.incarnations = held.front().incarnations;
     release.suspects.push_back({held.front().fingerprint, "", "route", false});
-    history.add(release, at(6s));
-    EXPECT_TRUE(history.heldRequests(at(6s)).empty());
+    m_history.add(release, at(6s));
+    EXPECT_TRUE(m_history.heldRequests(at(6s)).empty());
     EXPECT_EQ(verdict({"bad"}, 6s), CrashVerdict::Clear);
 }
 
@@ -300,7 +300,7 @@
 {
     addCrash(1, 0s, {lost(1, {"a", "bad"})});
     addCrash(2, 5s, {lost(2, {"b", "bad"})});
-    const std::vector<HeldRequest> held = history.heldRequests(at(5s));
+    const std::vector<HeldRequest> held = m_history.heldRequests(at(5s));
     ASSERT_EQ(held.size(), 1U);
     EXPECT_EQ(held.front().status.segment, "bad");
     EXPECT_EQ(held.front().customer, "customer-7");
@@ -315,7 +315,7 @@
     cleared.suspects.front().fingerprint = segmentFingerprint(kCustomer, "common");
     cleared.suspects.push_back(cleared.suspects.front());
     cleared.suspects.back().fingerprint = segmentFingerprint(kAllCustomers, "common");
-    history.add(cleared, at(0s));
+    m_history.add(cleared, at(0s));
     addCrash(1, 60s, {lost(1, {"common", "bad"})});
     addCrash(2, 65s, {lost(2, {"common", "worse"})});
     addCrash(3, 70s, {lost(3, {"common", "bad"})});
