A trial of a segment ended the process that claimed it

The suspect was a temporary in the statement with co_await, which GCC 12 destroys twice; it is a variable now. Two tests of trials by segment; operators see all segments of which one is held back.

--- a/fulmarlink/crashhistory.h
+++ b/fulmarlink/crashhistory.h
@@ -96,7 +96,7 @@
 
     /** Returns false if a record of this name is known already. */
     bool add(CrashRecord record, TimePoint now);
-    /** The verdict on a request alone, or on a segment in a request that has no other. */
+    /** The verdict on a request alone, or on a segment in a request that also has those that were lost in all of its crashes. */
     CrashStatus status(const RequestFingerprint &fingerprint, TimePoint now) const;
     /** The gravest verdict on the request and on the segments of its prompt. */
     CrashStatus gravestStatus(const CrashKeys &request, TimePoint now) const;
--- a/fulmarlink/crashverdicts.cpp
+++ b/fulmarlink/crashverdicts.cpp
@@ -17,6 +17,7 @@
 // callers name their segments themselves.
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "fulmarlink/crashchance.h"
@@ -51,6 +52,22 @@
     return verdict == CrashVerdict::HeldBack || verdict == CrashVerdict::TrialDue || verdict == CrashVerdict::Banned;
 }
 
+/** The keys that were lost in all of @p crashes, @p key first. */
+std::vector<RequestFingerprint>
+lostInAll(const std::set<TargetIncarnation> &crashes, const std::map<TargetIncarnation, std::set<RequestFingerprint>> &lostAt, const RequestFingerprint &key)
+{
+    std::vector<RequestFingerprint> result{key};
+    if (crashes.empty()) {
+        return result;
+    }
+    std::ranges::copy_if(lostAt.at(*crashes.begin()), std::back_inserter(result), [&](const RequestFingerprint &other) {
+        return std::ranges::all_of(crashes, [&](const TargetIncarnation &incarnation) {
+            return lostAt.at(incarnation).contains(other);
+        });
+    });
+    return result;
+}
+
 /** A request whose trial is due may run on one host, so it is refused more gravely if it is held back for another reason. */
 int gravity(CrashVerdict verdict)
 {
@@ -227,7 +244,7 @@
         return {};
     }
     if (!it->second.segment.empty()) {
-        return segmentStatus(fingerprint, {{}, {fingerprint}}, now);
+        return segmentStatus(fingerprint, {{}, lostInAll(crashesBeforeAnswer(fingerprint), m_lostAt, fingerprint)}, now);
     }
     CrashStatus result = requestStatus(it->second, now);
     result.key = fingerprint;
--- a/fulmarlink/gatewaycrashes.cpp
+++ b/fulmarlink/gatewaycrashes.cpp
@@ -78,7 +78,8 @@
 
 asio::awaitable<bool> GatewayExchange::claimTrial()
 {
-    const bool claimed = co_await m_state.crashWatch->claimTrial({m_trialKey, m_customer, m_route.name, false});
+    CrashSuspect subject{m_trialKey, m_customer, m_route.name, false};
+    const bool claimed = co_await m_state.crashWatch->claimTrial(std::move(subject));
     logRequest("trial",
                {{"id", m_callerRequest.attemptId}, {"fingerprint", m_fingerprint.text()}, {"of", m_trialKey.text()}, {"claimed", claimed ? "true" : "false"}});
     if (claimed) {
--- a/testing/crashingsegment_test.cpp
+++ b/testing/crashingsegment_test.cpp
@@ -248,6 +248,50 @@
     EXPECT_EQ(load.soundHeldBack(), 0U);
 }
 
+// Guards against a trial for each host, customer or request with the segment, and against a process that ends as it claims one.
+TEST(CrashingSegmentHosts, OneRequestIsTriedAfterTheHoldTimeWhateverTheArrivals)
+{
+    GatewayFleet fleet({.gateways = 5, .runners = 8, .holdTime = 1000ms});
+    fleet.crashingSegments = {kCrashing};
+    ASSERT_TRUE(fleet.start());
+    SegmentLoad load(fleet, 5, "/stream/");
+    for (const char *key : {"key", "other-key"}) {
+        load.sendCrashing(kCrashing, key);
+        fleet.runFor(400ms);
+    }
+    ASSERT_EQ(fleet.segmentCrashCount(kCrashing), 2U);
+    fleet.runFor(1000ms);
+    for (unsigned i = 0; i < 60; ++i) {
+        load.sendCrashing(kCrashing, i % 2 == 0 ? "key" : "other-key");
+        fleet.runFor(25ms);
+    }
+    EXPECT_EQ(fleet.segmentArrivalCount(kCrashing), kMostCrashes) << "two crashes and one trial";
+}
+
+// Guards against a segment that stays refused on some host after its trial has been answered.
+TEST(CrashingSegmentHosts, SegmentWhoseTrialIsAnsweredIsServedOnAllHosts)
+{
+    GatewayFleet fleet({.gateways = 5, .runners = 8, .holdTime = 1000ms});
+    fleet.crashingSegments = {kCrashing};
+    ASSERT_TRUE(fleet.start());
+    SegmentLoad load(fleet, 5, "/stream/");
+    for (unsigned i = 0; i < 2; ++i) {
+        load.sendCrashing();
+        fleet.runFor(400ms);
+    }
+    ASSERT_EQ(fleet.segmentCrashCount(kCrashing), 2U);
+    EXPECT_GE(fleet.counterSum("fulmarlink_segments_held_back"), 5U) << "one on each host, and one that was lost in the same crashes";
+    fleet.crashingSegments.clear();
+    fleet.runFor(1000ms);
+    load.sendCrashing();
+    fleet.runFor(1000ms);
+    for (unsigned gateway = 0; gateway < 5; ++gateway) {
+        HttpRequest request = fleet.request("/stream/again" + std::to_string(gateway));
+        request.set("Prompt-Prefix", std::string(kCrashing) + ":300,a0:100");
+        EXPECT_EQ(fleet.ask(gateway, std::move(request)).status, 200U) << gateway;
+    }
+}
+
 // Guards against sound requests that are refused since their segments are in each request that is in progress when runners end by themselves.
 TEST(CrashingSegmentLoad, UnrelatedCrashesHoldNoSegmentBack)
 {
--- a/testing/segmentcrashes_test.cpp
+++ b/testing/segmentcrashes_test.cpp
@@ -306,6 +306,16 @@
     EXPECT_EQ(held.front().customer, "customer-7");
 }
 
+// Two segments are in the same crashes: requests with both are refused, so operators have to see them.
+TEST_F(SegmentCrashes, SegmentsThatMayBothBeTheCauseAreListed)
+{
+    addCrash(1, 0s, {lost(1, {"one", "two"})});
+    addCrash(2, 5s, {lost(2, {"one", "two"})});
+    EXPECT_EQ(verdict({"one", "two"}, 5s), CrashVerdict::HeldBack);
+    EXPECT_EQ(verdict({"one"}, 5s), CrashVerdict::Clear);
+    EXPECT_EQ(m_history.heldRequests(at(5s)).size(), 2U);
+}
+
 // Another host has told that the common segment was answered, so it is not blamed here either.
 TEST_F(SegmentCrashes, SegmentAnsweredOnAnotherHostIsNotBlamedForCrashesOfTwoOthers)
 {
