--- a/review/3/unreadable_entry.cpp
+++ b/review/3/unreadable_entry.cpp
@@ -23,10 +23,27 @@
 constexpr double kServesOnMs = kDrainMs + 1500; ///< a runner goes on for drain_ms and a little longer
 constexpr double kReplacedAtMs = kReleaseAtMs + (kRunners - 1) * kReleaseGapMs + kServesOnMs; ///< all former runners have left
 
+constexpr std::size_t kNesting = 300;
 const std::string kKind = "servers";
 
-/** JSON text (RFC 8259, section 8.2): a string with the byte FF, which is no UTF-8, as an encoder writes it that escapes such bytes. */
-const std::string kUnreadable = R"({"service":"branch-portal","addr":"\udcff","zone":"lx-alfragide","state":"ready"})";
+/**
+ * The entry of another writer, as JSON text. All forms are JSON by the grammar of RFC 8259, but for "raw".
+ * "escape": a string with the byte FF, which is no UTF-8, as an encoder writes it that escapes what it can't decode (section 8.2 of the RFC).
+ */
+std::string entryOfAnotherWriter()
+{
+    const char *const value = std::getenv("ENTRY");
+    const std::string form = value == nullptr ? "escape" : value;
+    std::string addr = R"("\udcff")";
+    if (form == "raw") {
+        addr = "\"\xff\""; // the byte itself
+    } else if (form == "number") {
+        addr = "1e99999999999"; // of another type
+    } else if (form == "nested") {
+        addr = std::string(kNesting, '[') + std::string(kNesting, ']'); // of another type
+    }
+    return R"({"service":"branch-portal","zone":"lx-alfragide","state":"ready","addr":)" + addr + '}';
+}
 
 class Release
 {
@@ -114,8 +131,9 @@
     std::thread disruption([&] {
         release.sleepUntil(kEntryAtMs);
         if (withTrouble()) {
-            store.set(kKind, "x-of-another-writer", kUnreadable);
-            record.line("another writer's entry: " + kUnreadable);
+            const std::string entry = entryOfAnotherWriter();
+            store.set(kKind, "x-of-another-writer", entry);
+            record.line("another writer's entry: " + entry);
         }
         release.play();
     });
