--- a/review/standin/portal.cpp
+++ b/review/standin/portal.cpp
@@ -1,6 +1,7 @@
 #include "review/standin/portal.h"
 
 #include <chrono>
+#include <cstdlib>
 #include <thread>
 
 #include "review/standin/client.h"
@@ -17,6 +18,20 @@
 const std::string kPath = "/batch-export/";
 const std::string kService = "branch-portal";
 
+/** An answer that names no request, in one of the forms that PROTOCOL.md and `fleetbench wire` show: 503 by default, or STRAY=400 or STRAY=421. */
+std::string strayAnswer()
+{
+    const char *const value = std::getenv("STRAY");
+    const std::string form = value == nullptr ? "503" : value;
+    if (form == "400") {
+        return answer("400 Bad Request", "Not-Executed: 1\r\n", "");
+    }
+    if (form == "421") {
+        return answer("421 Misdirected Request", "Instance-Id: i-02d9e6b4\r\n", "");
+    }
+    return answer("503 Service Unavailable", "Not-Executed: 1\r\n", "");
+}
+
 } // namespace
 
 void Ledger::sent(const std::string &attemptId, double time)
@@ -102,7 +117,7 @@
         return false;
     }
     if (m_extra && ++answers % m_every == 0) {
-        connection.pendingExtra = answer("503 Service Unavailable", "Not-Executed: 1\r\n", "");
+        connection.pendingExtra = strayAnswer();
     }
     return true;
 }
