Read each item of the store's lists and events by itself

Cause: list() parsed the whole answer at once. One entry of another writer that the parser refuses (a lone surrogate, an exponent that is too large, 300 levels) made all of it null, so that no entry was known, and the last list stayed in force until the entry went. The same held for each other list, and for a watch, which returns the same events until it is moved on.

Why this works: the answer is split into the texts of its items by the order and nesting of tokens alone, and each is parsed alone. Items whose brackets or quotes don't balance are told apart by the keys that items begin with. So any text in place of one item loses this item (a property with text made of brackets, quotes and escapes). Name and revision are read beside a spec that can't be. Such an entry names no runner, whatever else it says, also where it is only invalid UTF-8; the others hold. An answer that is no list at all is an error of its own, 410, and never an empty list; so is a list with more pages than are read, or whose next page can't be asked for.

Ruled out: other options of Boost.JSON (none admits a surrogate or an exponent; a larger depth only moves the limit, and the parser recurses); its SAX parser with a handler that skips items (stops at the same errors); repairing the text before parsing (a list of forms). A reader that is known to be kept is still the one that parses each item.

A line when an item becomes malformed, when its problem changes and when that ends, with name, kind and revision; a gauge for targets and one for records.

--- a/fulmarlink/platform.h
+++ b/fulmarlink/platform.h
@@ -13,6 +13,7 @@
 #include "fulmarlink/crashrecord.h"
 #include "fulmarlink/limitrecord.h"
 #include "fulmarlink/livehosts.h"
+#include "fulmarlink/malformeditems.h"
 #include "fulmarlink/rankorders.h"
 #include "fulmarlink/targettable.h"
 
@@ -31,7 +32,8 @@
 struct TargetsRead {
     std::error_code error;
     bool changed = false; ///< false: unchanged since the last read, and targets is empty
-    std::vector<TargetInfo> targets; ///< without entries that could not be parsed
+    std::vector<TargetInfo> targets; ///< without the malformed entries
+    std::vector<MalformedItem> malformed; ///< entries that name no runner to use
     TimePoint began{}; ///< when the read began; the list was current at that time
 };
 
@@ -59,8 +61,9 @@
     std::error_code error; ///< StoreHistoryGone: read all records again with readSharedRecords()
     std::uint64_t revision = 0; ///< pass it to the next awaitSharedRecords()
     bool complete = false; ///< true: all existing records; false: only those that have changed
-    std::vector<CrashRecord> crashes; ///< without records that could not be parsed; so are the other lists
+    std::vector<CrashRecord> crashes; ///< without malformed records; so are the other lists
     std::vector<LimitRecord> limits;
+    std::vector<TargetIncarnation> malformedLimits; ///< incarnations whose limit record exists but can't be decoded
     std::vector<TargetIncarnation> removedLimits; ///< incarnations whose limit record has been removed
 };
 
@@ -74,7 +77,8 @@
  * calls; they make no decisions and keep no state except connections and the last read results.
  *
  * Errors: StoreUnavailable (nothing was done), StoreAnswerLost (a write may have taken
- * effect, now or later), VersionConflict, ObjectNotFound, StoreHistoryGone, ConfigurationInvalid.
+ * effect, now or later), VersionConflict, ObjectNotFound, StoreHistoryGone, ConfigurationInvalid,
+ * AnswerUnreadable (an answer came, but what it says can't be read; a write has taken effect).
  */
 class Platform
 {
--- a/fulmarlink/resultcode.cpp
+++ b/fulmarlink/resultcode.cpp
@@ -115,6 +115,12 @@
      false,
      "The operator's configuration in the store can't be understood; the last good one stays in force."},
     {ResultCode::StoreHistoryGone, "store-history-gone", 0, NotARequest, false, "The store no longer has the changes that were asked for; all is read anew."},
+    {ResultCode::AnswerUnreadable,
+     "answer-unreadable",
+     0,
+     NotARequest,
+     false,
+     "An answer of the store or of a runner came but can't be read; nothing of it is used."},
 });
 
 static_assert(std::ranges::is_sorted(kTable, {}, &ResultInfo::code));
--- a/fulmarlink/resultcode.h
+++ b/fulmarlink/resultcode.h
@@ -94,6 +94,7 @@
     ObjectNotFound = 407,
     ConfigurationInvalid = 408,
     StoreHistoryGone = 409,
+    AnswerUnreadable = 410,
 };
 
 /** What a result code says about the request it is given for. */
--- a/standins/platformfleet.cpp
+++ b/standins/platformfleet.cpp
@@ -11,6 +11,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "fulmarlink/log.h"
 #include "platform/wirenames.h"
 
 namespace fulmarlink::standins
@@ -34,9 +35,14 @@
 constexpr unsigned kGone = 410;
 constexpr auto kWatchPollInterval = std::chrono::milliseconds(4); ///< polling interval of watches
 
+HttpResponse jsonTextResponse(unsigned status, const std::string &text)
+{
+    return textResponse(status, text, "application/json");
+}
+
 HttpResponse jsonResponse(unsigned status, const json::value &value)
 {
-    return textResponse(status, json::serialize(value), "application/json");
+    return jsonTextResponse(status, json::serialize(value));
 }
 
 std::string header(const HttpRequest &request, std::string_view name)
@@ -94,7 +100,13 @@
 void PlatformStore::set(const std::string &kind, const std::string &name, json::value spec)
 {
     m_removed[kind].erase(name);
-    m_objects[kind][name] = {++m_revision, std::move(spec)};
+    m_objects[kind][name] = {++m_revision, std::move(spec), {}};
+}
+
+void PlatformStore::setText(const std::string &kind, const std::string &name, const std::string &specText)
+{
+    set(kind, name, nullptr);
+    m_objects[kind][name].specText = specText;
 }
 
 void PlatformStore::remove(const std::string &kind, const std::string &name)
@@ -128,30 +140,34 @@
     return result;
 }
 
-json::value PlatformStore::toJson(const std::string &name, const Object &object)
+std::string PlatformStore::textOf(const std::string &name, const Object &object)
 {
-    return json::object{{"metadata", json::object{{"name", name}, {"revision", object.revision}}}, {"spec", object.spec}};
+    const json::object metadata{{"name", name}, {"revision", object.revision}};
+    return R"({"metadata":)" + json::serialize(metadata) + R"(,"spec":)" + (object.specText.empty() ? json::serialize(object.spec) : object.specText) + '}';
 }
 
 HttpResponse PlatformStore::read(const std::string &kind, const std::string &name) const
 {
     const auto it = m_objects.find(kind);
+    if (name.empty() && !answerToLists.empty()) {
+        return jsonTextResponse(kOk, answerToLists);
+    }
     if (name.empty()) {
-        json::array items;
+        std::vector<std::string> items;
         if (it != m_objects.end()) {
             for (const auto &[key, object] : it->second) {
-                items.push_back(toJson(key, object));
+                items.push_back(textOf(key, object));
             }
         }
         if (listsInvalidText) {
-            items.push_back(json::object{{"metadata", json::object{{"name", "\xff\xfe"}}}, {"spec", "\xc3"}});
+            items.emplace_back("{\"metadata\":{\"name\":\"\xff\xfe\"},\"spec\":\"\xc3\"}");
         }
-        return jsonResponse(kOk, json::object{{"items", items}, {"more", false}, {"current_rev", m_revision}});
+        return jsonTextResponse(kOk, R"({"items":[)" + joined(items) + R"(],"more":false,"current_rev":)" + std::to_string(m_revision) + '}');
     }
     if (it == m_objects.end() || !it->second.contains(name)) {
         return jsonResponse(kNotFound, json::object{{"error", "not found"}});
     }
-    return jsonResponse(kOk, toJson(name, it->second.at(name)));
+    return jsonTextResponse(kOk, textOf(name, it->second.at(name)));
 }
 
 HttpResponse PlatformStore::write(const std::string &kind, const std::string &name, const HttpRequest &request)
@@ -162,14 +178,14 @@
     auto &objects = m_objects[kind];
     const auto it = objects.find(key);
     if (name.empty() ? it != objects.end() : it == objects.end()) {
-        return jsonResponse(name.empty() ? kConflict : kNotFound, it == objects.end() ? json::value(nullptr) : toJson(key, it->second));
+        return jsonTextResponse(name.empty() ? kConflict : kNotFound, it == objects.end() ? "null" : textOf(key, it->second));
     }
     const json::value *condition = metadata.if_contains("revision");
     if (condition != nullptr && condition->to_number<std::uint64_t>() != it->second.revision) {
-        return jsonResponse(kConflict, toJson(key, it->second));
+        return jsonTextResponse(kConflict, textOf(key, it->second));
     }
     set(kind, key, body.at("spec"));
-    return jsonResponse(name.empty() ? kCreated : kOk, toJson(key, objects.at(key)));
+    return jsonTextResponse(name.empty() ? kCreated : kOk, textOf(key, objects.at(key)));
 }
 
 HttpResponse PlatformStore::erase(const std::string &kind, const std::string &name)
@@ -187,23 +203,23 @@
     }
     const std::uint64_t since = queryNumber(query, "watch=");
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(queryNumber(query, "wait_ms="));
-    json::array events;
+    std::vector<std::string> events;
     while (!faults.watchesReturnEarly && events.empty() && std::chrono::steady_clock::now() < end) {
         boost::system::error_code ignored; // the timer is not cancelled
         asio::steady_timer timer(m_context, kWatchPollInterval);
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         for (const auto &[name, object] : m_objects[kind]) {
             if (object.revision > since && !faults.watchesMissChanges) {
-                events.push_back(json::object{{"object", toJson(name, object)}, {"removed", false}});
+                events.push_back(R"({"object":)" + textOf(name, object) + R"(,"removed":false})");
             }
         }
         for (const auto &[name, revision] : m_removed[kind]) {
             if (revision > since && !faults.watchesMissChanges) {
-                events.push_back(json::object{{"object", toJson(name, {revision, json::object()})}, {"removed", true}});
+                events.push_back(R"({"object":)" + textOf(name, {revision, json::object(), {}}) + R"(,"removed":true})");
             }
         }
     }
-    co_return jsonResponse(kOk, json::object{{"events", events}, {"current_rev", m_revision}});
+    co_return jsonTextResponse(kOk, R"({"events":[)" + joined(events) + R"(],"current_rev":)" + std::to_string(m_revision) + '}');
 }
 
 asio::awaitable<HttpResponse> PlatformStore::handle(HttpRequest request)
--- a/standins/platformfleet.h
+++ b/standins/platformfleet.h
@@ -40,6 +40,8 @@
     HttpTarget listen();
     /** Writes an object unconditionally, as the operator or a runner would. */
     void set(const std::string &kind, const std::string &name, boost::json::value spec);
+    /** As set(), with a spec that need not be JSON. */
+    void setText(const std::string &kind, const std::string &name, const std::string &specText);
     void remove(const std::string &kind, const std::string &name);
     bool has(const std::string &kind, const std::string &name) const;
     /** The object's spec; null if there is no such object. */
@@ -51,11 +53,13 @@
     unsigned calls = 0;
     unsigned writes = 0; ///< calls other than GET
     bool listsInvalidText = false; ///< lists contain an additional item whose strings are not valid UTF-8
+    std::string answerToLists; ///< in place of each list, if not empty
 
 private:
     struct Object {
         std::uint64_t revision = 0;
         boost::json::value spec;
+        std::string specText; ///< in place of the spec, if not empty
     };
 
     boost::asio::awaitable<HttpResponse> handle(HttpRequest request);
@@ -63,7 +67,7 @@
     HttpResponse erase(const std::string &kind, const std::string &name);
     HttpResponse read(const std::string &kind, const std::string &name) const;
     HttpResponse write(const std::string &kind, const std::string &name, const HttpRequest &request);
-    static boost::json::value toJson(const std::string &name, const Object &object);
+    static std::string textOf(const std::string &name, const Object &object);
 
     boost::asio::io_context &m_context;
     std::shared_ptr<HttpServer> m_server;
--- /dev/null
+++ b/testing/unreadablerecords_test.cpp
@@ -0,0 +1,132 @@
+// Records that hosts share and that can't be read: what they say of others still holds, and nothing is concluded from what they don't say.
+
+#include <boost/json/serialize.hpp>
+#include <gtest/gtest.h>
+
+#include "fulmarlink/limitwatch.h"
+#include "fulmarlink/resultcode.h"
+#include "fulmarlink/signalwatch.h"
+#include "testing/harness/fakegroup.h"
+#include "testing/harness/gatewayfixture.h"
+#include "testing/harness/twogroups.h"
+
+namespace fulmarlink::testing
+{
+
+namespace
+{
+
+const std::string kUnreadable = R"({"holder":"\udcff"})";
+
+class UnreadableRecords : public ::testing::Test
+{
+public:
+    UnreadableRecords()
+    {
+        startLogging("off");
+    }
+
+    template<typename Result>
+    Result wait(asio::awaitable<Result> call)
+    {
+        std::optional<Result> result;
+        asio::co_spawn(context, std::move(call), [&](const std::exception_ptr &error, Result value) {
+            EXPECT_FALSE(error);
+            result = std::move(value);
+        });
+        const auto end = std::chrono::steady_clock::now() + 5s;
+        while (!result && std::chrono::steady_clock::now() < end) {
+            context.run_for(1ms);
+        }
+        EXPECT_TRUE(result);
+        return result.value_or(Result());
+    }
+
+    HostClock clock;
+    Counters counters;
+    asio::io_context context{1};
+    PlatformStore store{context};
+    PlatformClient client{context.get_executor(), clock, counters, {.store = store.listen()}};
+};
+
+json::object limitRecord()
+{
+    return {{"kind", "limit"}, {"host", "h"}, {"written_ms", 5}, {"per_second", 3.0}};
+}
+
+/** State of a host that knows the runner n0 (born 0), with a limit that another host has recorded. */
+class HostWithSignals : public TwoGroups
+{
+public:
+    HostWithSignals()
+    {
+        state.signalWatch = &signals;
+    }
+
+    SharedRecordsRead recordsWith(std::vector<LimitRecord> limits)
+    {
+        SharedRecordsRead read;
+        read.complete = true;
+        read.limits = std::move(limits);
+        return read;
+    }
+
+    asio::io_context context{1};
+    FakeGroup platform{context, {}};
+    LimitWatch limits{context, state, platform};
+    SignalWatch signals{state};
+    const TargetIncarnation runner{"n0", 0};
+};
+
+} // namespace
+
+// Guards against one record that hides all others, and stops the watch for changes.
+TEST_F(UnreadableRecords, OtherSharedRecordsAreRead)
+{
+    store.set("fulmarlink-crashes", "limit.i-1.7", limitRecord());
+    store.setText("fulmarlink-crashes", "limit.i-2.8", kUnreadable);
+    store.setText("fulmarlink-crashes", "crash.x", "{\"kind\":\"");
+    store.set("fulmarlink-crashes", "limit.i-3.9", limitRecord());
+    const SharedRecordsRead all = wait(client.readSharedRecords());
+    EXPECT_FALSE(all.error);
+    EXPECT_TRUE(all.complete);
+    EXPECT_EQ(all.limits.size(), 2U);
+    EXPECT_EQ(all.malformedLimits, (std::vector<TargetIncarnation>{{"i-2", 8}}));
+    EXPECT_NE(counters.text().find("fulmarlink_malformed_records 2\n"), std::string::npos);
+    store.setText("fulmarlink-crashes", "limit.i-1.7", kUnreadable);
+    store.set("fulmarlink-crashes", "limit.i-2.8", limitRecord());
+    const SharedRecordsRead changes = wait(client.awaitSharedRecords(all.revision, 500ms));
+    EXPECT_FALSE(changes.error);
+    EXPECT_GT(changes.revision, all.revision);
+    EXPECT_EQ(changes.limits.size(), 1U);
+    EXPECT_EQ(changes.malformedLimits, (std::vector<TargetIncarnation>{{"i-1", 7}}));
+    EXPECT_TRUE(changes.removedLimits.empty());
+    EXPECT_NE(counters.text().find("fulmarlink_malformed_records 2\n"), std::string::npos);
+}
+
+// Guards against a list that is taken for an empty one: all runners would be gone.
+TEST_F(UnreadableRecords, AnswerThatIsNoListIsAnError)
+{
+    store.answerToLists = "{}";
+    EXPECT_EQ(wait(client.readTargets()).error, ResultCode::AnswerUnreadable);
+    store.answerToLists = R"({"items":[{"metadata":{"name":"i-1"}}],"more":true,"current_rev":)";
+    EXPECT_EQ(wait(client.readTargets()).error, ResultCode::AnswerUnreadable);
+    store.answerToLists = R"({"items":[{"metadata":"\udcff"}],"more":true,"current_rev":7})";
+    EXPECT_EQ(wait(client.readTargets()).error, ResultCode::AnswerUnreadable) << "no name to continue behind";
+    store.answerToLists = R"({"items":[{"metadata":{"name":"i-1"}}],"more":true,"current_rev":7})";
+    EXPECT_EQ(wait(client.readTargets()).error, ResultCode::AnswerUnreadable) << "the next page begins at the same name";
+}
+
+// Guards against text of another writer that looks like the entry of a runner: which of the two is the runner's is open.
+TEST_F(UnreadableRecords, RunnerListedTwiceIsNotUsed)
+{
+    const std::string item = R"({"metadata":{"name":"i-1","revision":7},"spec":)" + json::serialize(standins::runnerEntry("p", {"10.0.0.1", 80}, 4)) + '}';
+    store.answerToLists = R"({"items":[)" + item + ',' + item + R"(],"more":false,"current_rev":7})";
+    const TargetsRead read = wait(client.readTargets());
+    EXPECT_FALSE(read.error);
+    EXPECT_TRUE(read.targets.empty());
+    ASSERT_EQ(read.malformed.size(), 1U);
+    EXPECT_EQ(read.malformed.front().name, "i-1");
+}
+
+} // namespace fulmarlink::testing
