A runner whose entry can't be read takes no requests and is not gone

An entry that was sound and can't be read any more names no runner to use, but its runner may be there. Taken for gone, it was forgotten with what it had announced (leaving, a limit, a rest), so that it got requests against that once it was listed again; after an outage it got the grace of missing runners, that is requests; and a group lost a rank that still reports itself: no new map, and a switch given up between hold and go leaves the group standing.

It stays listed with what is known of it, is never picked, and keeps its group's orders. A restart meanwhile is seen when it can be read again.

Tests fail before: the two of TargetTable by what they ask for; GroupSwitchesWhileTheEntryOfARankCannotBeRead, with the rank taken off the list, has no switch in 10 s.

--- a/fulmarlink/gateway.cpp
+++ b/fulmarlink/gateway.cpp
@@ -282,10 +282,10 @@
 /** Notes the runners that are listed with another start than before and had not announced that they leave. */
 void Gateway::observeRestarts(const std::vector<TargetInfo> &targets)
 {
-    for (const TargetInfo &before : m_listedTargets) {
-        const auto it = std::ranges::find(targets, before.id, &TargetInfo::id);
-        if (it != targets.end() && it->born != before.born && !before.leaving) {
-            m_crashWatch.noteEnd({before.id, before.born}, "listed-anew");
+    for (const TargetInfo &target : targets) {
+        const TargetInfo *before = m_state.targets.find(target.id);
+        if (before != nullptr && before->born != target.born && !before->leaving) {
+            m_crashWatch.noteEnd({before->id, before->born}, "listed-anew");
         }
     }
 }
@@ -295,8 +295,12 @@
     if (read.changed) {
         observeRestarts(read.targets);
         m_listedTargets = read.targets;
+        m_malformedTargets.clear();
+        for (const MalformedItem &entry : read.malformed) {
+            m_malformedTargets.insert(entry.name);
+        }
     }
-    const TargetChanges changes = m_state.targets.setTargets(m_listedTargets, m_clock.now());
+    const TargetChanges changes = m_state.targets.setTargets(m_listedTargets, m_clock.now(), m_malformedTargets);
     m_targetsKnown = true;
     m_state.targetsListedAt = read.began;
     m_state.crashes.setRunnerCount(m_listedTargets.size());
@@ -305,13 +309,14 @@
         const TargetInfo *target = m_state.targets.find(id);
         m_crashWatch.restarted(id, target == nullptr ? 0 : target->born);
     }
-    if (changes.added.empty() && changes.leaving.empty() && changes.gone.empty() && changes.restarted.empty()) {
+    if (changes.added.empty() && changes.leaving.empty() && changes.gone.empty() && changes.restarted.empty() && changes.malformed.empty()) {
         return;
     }
     logChange("targets-changed",
               {{"added", joinWithCommas(changes.added)},
                {"restarted", joinWithCommas(changes.restarted)},
                {"leaving", joinWithCommas(changes.leaving)},
+               {"malformed", joinWithCommas(changes.malformed)},
                {"gone", joinWithCommas(changes.gone)},
                {"listed", std::to_string(m_listedTargets.size())}});
 }
--- a/fulmarlink/gateway.h
+++ b/fulmarlink/gateway.h
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "fulmarlink/backoffrecorder.h"
@@ -107,6 +108,7 @@
     bool m_storeReachable = true;
     bool m_targetsKnown = false;
     std::vector<TargetInfo> m_listedTargets; ///< from the latest read
+    std::set<std::string> m_malformedTargets; ///< names of the entries in the latest read that can't be read
 };
 
 } // namespace fulmarlink
--- a/fulmarlink/targettable.cpp
+++ b/fulmarlink/targettable.cpp
@@ -14,7 +14,7 @@
 {
 }
 
-TargetChanges TargetTable::setTargets(const std::vector<TargetInfo> &list, TimePoint now)
+TargetChanges TargetTable::setTargets(const std::vector<TargetInfo> &list, TimePoint now, const std::set<std::string> &malformed)
 {
     TargetChanges changes;
     const bool afterOutage = m_listedAt && now - *m_listedAt > m_options.outageGap;
@@ -24,7 +24,7 @@
         present.insert(info.id);
         const auto [it, added] = m_states.try_emplace(info.id);
         State &state = it->second;
-        if (added || !state.listed) {
+        if (added || !state.listed || state.malformed) {
             changes.added.push_back(info.id);
         }
         if (info.leaving && (added || !state.info.leaving)) {
@@ -36,6 +36,7 @@
         }
         state.info = info;
         state.listed = true;
+        state.malformed = false;
         state.missingSince.reset();
     }
     for (auto it = m_states.begin(); it != m_states.end();) {
@@ -44,7 +45,15 @@
             ++it;
             continue;
         }
-        if (afterOutage && state.listed && !state.info.leaving && !state.missingSince) {
+        if (state.listed && malformed.contains(it->first)) {
+            if (!state.malformed) {
+                changes.malformed.push_back(it->first);
+            }
+            state.malformed = true;
+            ++it;
+            continue;
+        }
+        if (afterOutage && state.listed && !state.info.leaving && !state.malformed && !state.missingSince) {
             state.missingSince = now;
         }
         const bool withinGrace = state.missingSince && now - *state.missingSince < m_options.missingGrace;
@@ -74,7 +83,7 @@
     const bool graceExpired = state.missingSince && now - *state.missingSince >= m_options.missingGrace;
     const bool listedLeaving = state.info.leaving && !mutated(Mutation::PickLeaving);
     const bool announcedLeaving = m_signals != nullptr && m_signals->isLeaving({state.info.id, state.info.born}) && !mutated(Mutation::IgnoreLeavingAnswer);
-    return state.listed && !listedLeaving && !announcedLeaving && !graceExpired;
+    return state.listed && !state.malformed && !listedLeaving && !announcedLeaving && !graceExpired;
 }
 
 RunnerExclusion TargetTable::obstacle(const State &state, TimePoint now) const
--- a/fulmarlink/targettable.h
+++ b/fulmarlink/targettable.h
@@ -72,6 +72,7 @@
     std::vector<std::string> added;
     std::vector<std::string> restarted; ///< with an unchanged id
     std::vector<std::string> leaving;
+    std::vector<std::string> malformed; ///< known runners whose entry can't be read any more
     std::vector<std::string> gone;
 };
 
@@ -84,7 +85,7 @@
  * fails several times in a row is ejected for a while, and a slow runner is avoided; both
  * are still selected if no other runner is left.
  *
- * Contract: pick() never returns a runner that is leaving or missing in the latest list, or
+ * Contract: pick() never returns a runner that is leaving or missing in the latest list or whose entry there can't be read, or
  * that has itself announced that it is leaving or currently accepts no request from this host.
  * A runner that is missing after an outage stays usable for missingGrace.
  * Does no I/O; not thread-safe; pick() is O(known runners).
@@ -98,8 +99,11 @@
 
     explicit TargetTable(TargetTableOptions options);
 
-    /** Replaces the runner list with the platform's complete list as read at @p now. */
-    TargetChanges setTargets(const std::vector<TargetInfo> &list, TimePoint now);
+    /**
+     * Replaces the runner list with the platform's complete list as read at @p now. @p malformed has the names of entries that can't be read. A known runner
+     * whose entry is among them takes no requests. It stays listed with what is known of it, since its entry is there.
+     */
+    TargetChanges setTargets(const std::vector<TargetInfo> &list, TimePoint now, const std::set<std::string> &malformed = {});
     /** Selects a runner of @p pool that is not in @p tried; null if none can take requests. */
     const TargetInfo *pick(std::string_view pool, const std::set<std::string> &tried, TimePoint now, Random &random) const;
     /** The best runner not in @p tried of each rank group of @p pool, and of the runners without a group; sorted by group name. */
@@ -154,6 +158,7 @@
         TargetInfo info;
         std::string group; ///< rank group; empty: none
         bool listed = true;
+        bool malformed = false; ///< its entry in the latest list can't be read, and info is from an earlier one
         std::optional<TimePoint> missingSince; ///< when it was first found missing after an outage
         unsigned ownInFlight = 0;
         unsigned othersInFlight = 0;
--- a/testing/expertmapcontroller_test.cpp
+++ b/testing/expertmapcontroller_test.cpp
@@ -269,4 +269,23 @@
     EXPECT_FALSE(group->usedMixedMaps);
 }
 
+// Guards against a group that keeps its map, or stands still in the middle of a switch, since the entry of one of its ranks can't be read: the ranks report
+// their group themselves.
+TEST_F(ExpertMapControllerTest, GroupSwitchesWhileTheEntryOfARankCannotBeRead)
+{
+    start({});
+    std::vector<TargetInfo> list = group->targets();
+    const std::string id = list.back().id;
+    list.pop_back();
+    state->targets.setTargets(list, clock.now(), {id});
+    context.run_for(1500ms);
+    group->setDemand(kOneHot);
+    EXPECT_TRUE(runUntil(
+        [this] {
+            return group->switches > 0 && group->imbalance() < 1.5;
+        },
+        10s));
+    EXPECT_FALSE(group->usedMixedMaps);
+}
+
 } // namespace fulmarlink::testing
--- a/testing/targettable_test.cpp
+++ b/testing/targettable_test.cpp
@@ -145,4 +145,35 @@
     EXPECT_EQ(picked(targets, at(0)), "a");
 }
 
+// Guards against requests to a runner whose entry can't be read, and against the loss of what is known of it: it may be the rank of a group.
+TEST(TargetTable, RunnerWhoseEntryIsMalformedTakesNoRequestsAndStaysListed)
+{
+    TargetTable targets = table();
+    targets.setTargets({target("a"), target("b")}, at(0));
+    targets.setGroup("a", "g");
+    const TargetChanges changes = targets.setTargets({target("b")}, at(1000), {"a", "x"});
+    EXPECT_EQ(changes.malformed, std::vector<std::string>{"a"});
+    EXPECT_TRUE(changes.gone.empty());
+    EXPECT_FALSE(targets.isUsable("a", at(1000)));
+    EXPECT_EQ(picked(targets, at(1000), {"b"}), "");
+    EXPECT_EQ(targets.available("p", at(1000)), 1U);
+    EXPECT_EQ(targets.listed("p", "g").size(), 1U);
+    EXPECT_EQ(targets.find("x"), nullptr) << "its entry has never been read";
+    EXPECT_TRUE(targets.setTargets({target("b")}, at(2000), {"a"}).malformed.empty());
+    EXPECT_EQ(targets.setTargets({target("a"), target("b")}, at(3000)).added, std::vector<std::string>{"a"});
+    EXPECT_EQ(picked(targets, at(3000), {"b"}), "a");
+    EXPECT_EQ(targets.groupOf("a"), "g");
+}
+
+// Guards against the grace of runners that are missing after an outage for one whose entry could not be read.
+TEST(TargetTable, RunnerWhoseEntryIsMalformedIsNotMissingAfterAnOutage)
+{
+    TargetTable targets = table();
+    targets.setTargets({target("a"), target("b")}, at(0));
+    targets.setTargets({target("b")}, at(5000), {"a"});
+    EXPECT_FALSE(targets.isUsable("a", at(5000)));
+    EXPECT_EQ(targets.setTargets({target("b")}, at(10000)).gone, std::vector<std::string>{"a"});
+    EXPECT_FALSE(targets.isUsable("a", at(10000)));
+}
+
 } // namespace fulmarlink::testing
--- a/testing/unreadablerecords_test.cpp
+++ b/testing/unreadablerecords_test.cpp
@@ -71,6 +71,16 @@
         return read;
     }
 
+    /** The list without n0's entry; @p malformed: it is there and can't be read. */
+    void listWithoutRunner(bool malformed)
+    {
+        std::vector<TargetInfo> list = state.targets.listed("p");
+        std::erase_if(list, [](const TargetInfo &target) {
+            return target.id == "n0";
+        });
+        state.targets.setTargets(list, clock.now(), malformed ? std::set<std::string>{"n0"} : std::set<std::string>());
+    }
+
     asio::io_context context{1};
     FakeGroup platform{context, {}};
     LimitWatch limits{context, state, platform};
@@ -104,6 +114,28 @@
     EXPECT_NE(counters.text().find("fulmarlink_malformed_records 2\n"), std::string::npos);
 }
 
+// Guards against a host that forgets what a runner has announced while its entry can't be read, and sends to it when it is listed again.
+TEST(UnreadableLimit, AnnouncementsOfARunnerHoldWhileItsEntryCannotBeRead)
+{
+    HostWithSignals host;
+    host.limits.applyRecords(host.recordsWith({{host.runner, 3, "other", std::chrono::milliseconds(5)}}));
+    host.state.signals.markLeaving(host.runner);
+    host.listWithoutRunner(true);
+    for (unsigned i = 0; i < 3; ++i) {
+        host.limits.removeUnlistedRunners();
+        host.signals.removeUnlistedRunners();
+    }
+    EXPECT_NE(host.state.signals.limits.find(host.runner), nullptr);
+    EXPECT_TRUE(host.state.signals.isLeaving(host.runner));
+    host.listWithoutRunner(false);
+    for (unsigned i = 0; i < 3; ++i) {
+        host.limits.removeUnlistedRunners();
+        host.signals.removeUnlistedRunners();
+    }
+    EXPECT_EQ(host.state.signals.limits.find(host.runner), nullptr) << "the runner is gone";
+    EXPECT_FALSE(host.state.signals.isLeaving(host.runner));
+}
+
 // Guards against a list that is taken for an empty one: all runners would be gone.
 TEST_F(UnreadableRecords, AnswerThatIsNoListIsAnError)
 {
