A limit holds while its record can't be read

A complete read without the record of a limit ended that limit on this host, also if the record was there and could not be decoded: the runner then got more than it takes. The record's name says whose limit it is, so that it counts as present.

UnreadableLimit.HoldsWhileItsRecordCannotBeRead fails before: the limit is gone.

--- a/fulmarlink/limitwatch.cpp
+++ b/fulmarlink/limitwatch.cpp
@@ -75,6 +75,7 @@
         const RunnerLimit before = current == nullptr ? RunnerLimit{} : *current;
         applyChange(record.incarnation, m_state.signals.limits.applyRecord(record.incarnation, record.perSecond, record.host, m_state.clock.now()), before);
     }
+    present.insert(read.malformedLimits.begin(), read.malformedLimits.end());
     for (const TargetIncarnation &incarnation : read.removedLimits) {
         handleRemovedRecord(incarnation);
     }
--- a/testing/unreadablerecords_test.cpp
+++ b/testing/unreadablerecords_test.cpp
@@ -114,6 +114,20 @@
     EXPECT_NE(counters.text().find("fulmarlink_malformed_records 2\n"), std::string::npos);
 }
 
+// Guards against a limit that ends because its record can't be read: the runner has not said that it takes more.
+TEST(UnreadableLimit, HoldsWhileItsRecordCannotBeRead)
+{
+    HostWithSignals host;
+    host.limits.applyRecords(host.recordsWith({{host.runner, 3, "other", std::chrono::milliseconds(5)}}));
+    ASSERT_NE(host.state.signals.limits.find(host.runner), nullptr);
+    SharedRecordsRead unreadable = host.recordsWith({});
+    unreadable.malformedLimits = {host.runner};
+    host.limits.applyRecords(unreadable);
+    EXPECT_NE(host.state.signals.limits.find(host.runner), nullptr);
+    host.limits.applyRecords(host.recordsWith({}));
+    EXPECT_EQ(host.state.signals.limits.find(host.runner), nullptr) << "its record has been removed";
+}
+
 // Guards against a host that forgets what a runner has announced while its entry can't be read, and sends to it when it is listed again.
 TEST(UnreadableLimit, AnnouncementsOfARunnerHoldWhileItsEntryCannotBeRead)
 {
