A lease whose record can't be read may be held

Its holder was read as empty, which means released, so that another host took the lease at once beside its holder; an answer without a readable revision was read as no record at all, and each attempt to create one was refused.

UnreadableRecords.LeaseMayBeHeld fails before: the holder is empty.

--- a/testing/unreadablerecords_test.cpp
+++ b/testing/unreadablerecords_test.cpp
@@ -150,6 +150,23 @@
     EXPECT_FALSE(host.state.signals.isLeaving(host.runner));
 }
 
+// Guards against a lease that looks free, or as if nobody had ever written it, since its record can't be read.
+TEST_F(UnreadableRecords, LeaseMayBeHeld)
+{
+    store.setText("fulmarlink-leases", "pool.group", kUnreadable);
+    const LeaseRead read = wait(client.readLease("pool.group", false));
+    EXPECT_FALSE(read.error);
+    EXPECT_GT(read.record.revision, 0U);
+    EXPECT_FALSE(read.record.holder.empty());
+    LeaseRecord next = read.record;
+    next.holder = "entry";
+    EXPECT_FALSE(wait(client.writeLease("pool.group", next)).error) << "it can be taken over";
+    EXPECT_EQ(wait(client.readLease("pool.group", false)).record.holder, "entry");
+    store.setText("fulmarlink-leases", "pool.group", "{\"holder\":\"x}}");
+    EXPECT_FALSE(wait(client.readLease("pool.group", false)).record.holder.empty());
+    EXPECT_EQ(wait(client.readLease("none", false)).record.revision, 0U);
+}
+
 // Guards against a list that is taken for an empty one: all runners would be gone.
 TEST_F(UnreadableRecords, AnswerThatIsNoListIsAnError)
 {
