One backoff that can't be parsed hides no other one of its host

A host's backoffs stand in one record, with ids that others have chosen: one that the parser refuses lost all of them at a restart, and the runners that had asked for rest got requests.

UnreadableRecords.OtherBackoffsOfAHostAreRestored fails before: none is restored.

--- a/testing/unreadablerecords_test.cpp
+++ b/testing/unreadablerecords_test.cpp
@@ -167,6 +167,21 @@
     EXPECT_EQ(wait(client.readLease("none", false)).record.revision, 0U);
 }
 
+// Guards against one backoff, with the id of another writer, that makes a restarted host forget the others.
+TEST_F(UnreadableRecords, OtherBackoffsOfAHostAreRestored)
+{
+    store.setText(
+        "fulmarlink-backoffs",
+        "entry",
+        R"({"backoffs":[{"target":"i-1","born":7,"until_ms":1800000003000,"remaining_ms":3000},{"target":"\udcff","born":7,"until_ms":1,"remaining_ms":1},
+{"target":"i-3","born":9,"until_ms":1800000003000,"remaining_ms":3000}]})");
+    const BackoffsRead read = wait(client.readBackoffs("entry"));
+    EXPECT_FALSE(read.error);
+    ASSERT_EQ(read.backoffs.size(), 2U);
+    EXPECT_EQ(read.backoffs[0].incarnation.id, "i-1");
+    EXPECT_EQ(read.backoffs[1].incarnation.id, "i-3");
+}
+
 // Guards against a list that is taken for an empty one: all runners would be gone.
 TEST_F(UnreadableRecords, AnswerThatIsNoListIsAnError)
 {
