A record that is no host's does not count as a host for ever

Records without a renewal counter are those of an earlier version, which writes its record once, and count as live as long as they exist. A record of another writer, or one that can't be read, counted as such a host: the hosts' shares of limits and of the retry budget were too small as long as it stood. Only an object without the counter is an earlier version's now; any other record has to change like that of a live host.

UnreadableRecords.RecordOfNoHostCountsAsOneOnlyUntilItIsSeenUnchanged fails before: x and y are live.

--- a/testing/unreadablerecords_test.cpp
+++ b/testing/unreadablerecords_test.cpp
@@ -182,6 +182,24 @@
     EXPECT_EQ(read.backoffs[1].incarnation.id, "i-3");
 }
 
+// Guards against another writer's record that counts as a host for ever, so that the hosts' shares of limits and budgets are too small.
+TEST_F(UnreadableRecords, RecordOfNoHostCountsAsOneOnlyUntilItIsSeenUnchanged)
+{
+    store.set("fulmarlink-entries", "entry-1", json::object{{"renewals", 1}});
+    store.set("fulmarlink-entries", "entry-of-an-earlier-version", json::object());
+    store.setText("fulmarlink-entries", "x", kUnreadable + "]");
+    store.set("fulmarlink-entries", "y", "text");
+    LiveHosts hosts;
+    for (unsigned i = 0; i <= LiveHosts::kUnchangedReadsUntilGone; ++i) {
+        store.set("fulmarlink-entries", "entry-1", json::object{{"renewals", i}});
+        const EntriesRead read = wait(client.readEntries());
+        EXPECT_FALSE(read.error);
+        EXPECT_EQ(read.entries.size(), 4U);
+        hosts.recordRead(read.entries);
+    }
+    EXPECT_EQ(hosts.hosts(), (std::vector<std::string>{"entry-1", "entry-of-an-earlier-version"}));
+}
+
 // Guards against a list that is taken for an empty one: all runners would be gone.
 TEST_F(UnreadableRecords, AnswerThatIsNoListIsAnError)
 {
