A rank's answer that can't be read states nothing

A report that could not be parsed, or a group of another type, was read as that of a runner without a group, which left its group for up to 8 s; a field of another type was its default: not armed, no pass held, rank 0, expert 0 selected so and so often. Each answer is one runner's own, so that one field in doubt makes all of it an error: the report is read again, and its group keeps its map. A line with the runner and the call when that begins and ends, and a gauge.

PlatformCodec.RankAnswersThatCannotBeReadStateNothing and UnreadableRecords.ReportOfARunnerIsNotTakenForOneWithoutAGroup fail before.

--- a/fulmarlink/rankorders.h
+++ b/fulmarlink/rankorders.h
@@ -31,7 +31,8 @@
     double slowdown = 1; ///< ratio to the engine's cost model; over 1: slower than predicted
     unsigned running = 0;
     unsigned waiting = 0;
-    std::string raw; ///< for the log, if part of the report could not be parsed
+    std::string raw; ///< the answer, for the log
+    std::string problem; ///< what can't be decoded, for the log
 };
 
 struct RankReportRead {
@@ -42,6 +43,7 @@
 /** How often the requests of a rank have selected each expert since the runner started. */
 struct ExpertCountsRead {
     std::error_code error;
+    std::string problem; ///< what can't be decoded, for the log
     std::uint64_t born = 0; ///< as in RankReport; counts from different starts can't be compared
     std::uint64_t epoch = 0;
     std::uint64_t pass = 0;
@@ -51,6 +53,7 @@
 /** The part of the map in use that one rank holds. */
 struct RankPlacementRead {
     std::error_code error;
+    std::string problem; ///< what can't be decoded, for the log
     std::uint64_t version = 0;
     std::vector<std::vector<ExpertId>> experts; ///< by layer set
 };
--- a/standins/platformfleet.cpp
+++ b/standins/platformfleet.cpp
@@ -398,7 +398,7 @@
         co_return false;
     }
     ++reportReads;
-    const std::string body = json::serialize(report);
+    const std::string body = reportText.empty() ? json::serialize(report) : reportText;
     again = co_await write(stream,
                            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + runnerHeaderLines() + "Content-Length: " + std::to_string(body.size())
                                + "\r\n\r\n" + body);
--- a/standins/platformfleet.h
+++ b/standins/platformfleet.h
@@ -127,6 +127,7 @@
     bool leaving = false; ///< announced in each response
     /** Fields of the platform's runner report; empty: the runner is in no group. */
     boost::json::object report;
+    std::string reportText; ///< in place of the report, if not empty
     std::vector<std::string> attemptsRun; ///< ids of the attempts that it ran
     std::vector<HttpRequest> receivedRequests; ///< all received requests except reads of the report
     std::size_t openConnections() const;
--- a/testing/platformcodec_test.cpp
+++ b/testing/platformcodec_test.cpp
@@ -360,4 +360,39 @@
     EXPECT_EQ(json::serialize(encodeOrder(order)), R"({"operation":"arm","epoch":2,"version":7,"step":40})");
 }
 
+// Guards against defaults in place of what a rank has said and can't be read: not in a group, not armed, no expert selected.
+TEST(PlatformCodec, RankAnswersThatCannotBeReadStateNothing)
+{
+    for (const char *text : {"null",
+                             "7",
+                             R"({"group":7})",
+                             R"({"group":{"name":7}})",
+                             R"({"group":{"name":"g","rank":"first"}})",
+                             R"({"group":{},"armed":"yes"})",
+                             R"({"group":{},"armed":{"version":"4"}})",
+                             R"({"group":{},"armed":{"version":4,"step":[]}})",
+                             R"({"group":{},"held":true})",
+                             R"({"group":{},"map":[]})",
+                             R"({"group":{},"step":-1})"}) {
+        std::error_code error;
+        const RankReport report = decodeReport(json::parse(text), error);
+        EXPECT_EQ(error, ResultCode::AnswerUnreadable) << text;
+        EXPECT_NE(report.problem, "") << text;
+    }
+    for (const char *text : {"null", R"({"counts":7})", R"({"counts":[1,"2"]})", R"({"counts":[1,-2]})", R"({"epoch":[],"counts":[1]})"}) {
+        const ExpertCountsRead read = decodeCounts(json::parse(text), 1);
+        EXPECT_EQ(read.error, ResultCode::AnswerUnreadable) << text;
+        EXPECT_TRUE(read.counts.empty()) << text;
+    }
+    for (const char *text : {"null",
+                             R"({"map":7})",
+                             R"({"map":{"version":"4","experts":[]}})",
+                             R"({"map":{"version":4,"experts":[[0],[null]]}})",
+                             R"({"map":{"version":4,"experts":[0]}})",
+                             R"({"map":{"version":4,"experts":[[4294967296]]}})"}) {
+        EXPECT_EQ(decodePlacement(json::parse(text)).error, ResultCode::AnswerUnreadable) << text;
+    }
+    EXPECT_EQ(decodePlacement(json::parse("{}")).error, ResultCode::ObjectNotFound);
+}
+
 } // namespace fulmarlink::testing
--- a/testing/unreadablerecords_test.cpp
+++ b/testing/unreadablerecords_test.cpp
@@ -225,4 +225,20 @@
     EXPECT_EQ(read.malformed.front().name, "i-1");
 }
 
+// Guards against a report that can't be read and moves its runner out of its group.
+TEST_F(UnreadableRecords, ReportOfARunnerIsNotTakenForOneWithoutAGroup)
+{
+    PlatformRunner runner(context, "i-1");
+    TargetInfo target;
+    target.id = "i-1";
+    target.address = runner.listen();
+    runner.reportText = R"({"group":"\udcff"})";
+    EXPECT_EQ(wait(client.readRankReport(target)).error, ResultCode::AnswerUnreadable);
+    EXPECT_NE(counters.text().find("fulmarlink_malformed_runner_answers 1\n"), std::string::npos);
+    runner.reportText.clear();
+    runner.report["group"] = json::object{{"name", "g"}};
+    EXPECT_FALSE(wait(client.readRankReport(target)).error);
+    EXPECT_NE(counters.text().find("fulmarlink_malformed_runner_answers 0\n"), std::string::npos);
+}
+
 } // namespace fulmarlink::testing
