A runner's name that can't stand in a header names no runner

The name of an entry is sent to the runner in Expect-Instance. A name of another writer with a line break in it, which is sound JSON, ended that header and began another one.

PlatformCodec.TargetWhoseNameCannotStandInAHeaderIsRejected fails before.

--- a/testing/platformcodec_test.cpp
+++ b/testing/platformcodec_test.cpp
@@ -395,4 +395,17 @@
     EXPECT_EQ(decodePlacement(json::parse("{}")).error, ResultCode::ObjectNotFound);
 }
 
+// Guards against a name of another writer that ends a header line and begins another one.
+TEST(PlatformCodec, TargetWhoseNameCannotStandInAHeaderIsRejected)
+{
+    const json::value entry
+        = json::parse(R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","version":"v1","slots":12,"state":"ready","cold_left_ms":0,"call_seq":0})");
+    std::string problem;
+    EXPECT_TRUE(decodeTarget("i-7f3a91c2", entry, problem));
+    for (const std::string &name : {std::string("i\r\nTenant: x"), std::string("i a"), std::string("i\xff"), std::string("i\0", 2), std::string(257, 'i')}) {
+        EXPECT_FALSE(decodeTarget(name, entry, problem)) << name;
+        EXPECT_NE(problem.find("name"), std::string::npos);
+    }
+}
+
 } // namespace fulmarlink::testing
