Escape an object's name in the address of a list's next page

The review saw that it went into the query as it is. A name with a space or line break made the request invalid, so that the list was unreadable from that page on.

--- a/testing/jsonsplit_test.cpp
+++ b/testing/jsonsplit_test.cpp
@@ -196,4 +196,10 @@
     EXPECT_FALSE(read->events[3].removed);
 }
 
+TEST(StoreObjects, NameIsEscapedForTheAddressOfTheNextPage)
+{
+    EXPECT_EQ(percentEncoded("i-7f.a_B"), "i-7f.a_B");
+    EXPECT_EQ(percentEncoded("a b&c\r\n\xff%"), "a%20b%26c%0D%0A%FF%25");
+}
+
 } // namespace fulmarlink::testing
