Escape what is not printable ASCII in values of log lines

Values are others' text in part, names of entries above all: a quote and a line break in one could state an event that never was.

MalformedItemsTest.LoggedValuesAreEscaped fails before.

--- a/fulmarlink/log.cpp
+++ b/fulmarlink/log.cpp
@@ -130,6 +130,22 @@
     return std::to_string(now / 1000) + '.' + millis;
 }
 
+/** Appends @p value so that it can't end the quotes around it or begin another line: much of what is logged is others' text. */
+void appendEscaped(std::string &line, std::string_view value)
+{
+    static constexpr std::string_view kDigits = "0123456789abcdef";
+    for (const char character : value) {
+        const auto byte = static_cast<unsigned char>(character);
+        if (character == '"' || character == '\\') {
+            line += {'\\', character};
+        } else if (byte < ' ' || byte > '~') {
+            line += {'\\', 'x', kDigits[byte >> 4U], kDigits[byte & 15U]};
+        } else {
+            line += character;
+        }
+    }
+}
+
 std::string format(std::string_view event, std::initializer_list<LogField> fields)
 {
     std::string line = "event=" + std::string(event);
@@ -137,7 +153,7 @@
         line += ' ';
         line += key;
         line += "=\"";
-        line += value;
+        appendEscaped(line, value);
         line += '"';
     }
     return line;
--- a/testing/malformeditems_test.cpp
+++ b/testing/malformeditems_test.cpp
@@ -113,4 +113,12 @@
     EXPECT_EQ(items.size(), 2U);
 }
 
+// Guards against a value that ends its line or its quotes and states something else.
+TEST_F(MalformedItemsTest, LoggedValuesAreEscaped)
+{
+    const auto lines = replace({{"x\" change=\"none\"\nevent=started \xff\\", 1, "bad"}});
+    ASSERT_EQ(lines.size(), 1U);
+    EXPECT_NE(lines[0].find(R"(item="x\" change=\"none\"\x0aevent=started \xff\\" kind=)"), std::string::npos) << lines[0];
+}
+
 } // namespace fulmarlink::testing
