fulmarlink targets: lists runners and malformed entries

An operator had to find the entry in the lines of a gateway. The command reads the list as a gateway does and prints what it takes and what it does not, and why.

--- a/app/commands.h
+++ b/app/commands.h
@@ -14,6 +14,7 @@
 ExitCode runCtl(int argc, const char **argv);
 ExitCode runHeld(int argc, const char **argv);
 ExitCode runLimited(int argc, const char **argv);
+ExitCode runTargets(int argc, const char **argv);
 ExitCode runDemo(int argc, const char **argv);
 ExitCode runStandin(int argc, const char **argv);
 
--- a/app/main.cpp
+++ b/app/main.cpp
@@ -29,6 +29,7 @@
     {"ctl", runCtl, "show, compare, apply and watch the configuration"},
     {"held", runHeld, "list and release requests that are held back since runners ended under them"},
     {"limited", runLimited, "list runners that have named how many requests a second they take"},
+    {"targets", runTargets, "list runners, and entries in their list that can't be used"},
     {"demo", runDemo, "run a whole fleet on loopback under a load"},
     {"standin", runStandin, "run stand-ins for the platform and for engines"},
 });
--- a/app/storesession.h
+++ b/app/storesession.h
@@ -25,10 +25,15 @@
         return wait(m_client.readSharedRecords());
     }
 
+    TargetsRead targets()
+    {
+        return wait(m_client.readTargets());
+    }
+
     /** The number of listed runners; 0 if the list can't be read. */
     std::size_t runnerCount()
     {
-        return wait(m_client.readTargets()).targets.size();
+        return targets().targets.size();
     }
 
     std::error_code write(CrashRecord record)
