A refusal that names no request is not that of the request that waits

Cause: an answer counted as another request's only if it named one. A faulty runner's additional refusal without an id, late on a kept connection, counted as the refusal of the request that waits there, which then went to a second runner.

Why this works: runners answer with the request's id, so on a connection with an earlier request an answer without one is discarded like one with another id, and the next one is read. On a new connection there is no earlier request.

Ruled out: ending the attempt there as one that may have run (the runner's own answer, which comes next, is lost, and the caller gets 502); refusing every answer without an id (a refusal on a new connection is sound).

--- a/fulmarlink/gatewayrelay.cpp
+++ b/fulmarlink/gatewayrelay.cpp
@@ -163,7 +163,9 @@
         const RunnerAnswer answer = m_state.protocol.readAnswer(head.result_int(), head);
         connection.idleLimit = answer.keepAlive ? Duration(*answer.keepAlive) - TargetConnections::kIdleMargin : TargetConnections::kDefaultIdle;
         m_state.signalWatch->handleAnswer(target, answer, m_callerRequest.attemptId);
-        const bool foreignAnswer = !answer.attemptId.empty() && answer.attemptId != m_callerRequest.attemptId;
+        // Runners answer with the request's id. An answer without one may be an additional answer to an earlier request, if there was one on the connection.
+        const bool namesOther = answer.attemptId != m_callerRequest.attemptId;
+        const bool foreignAnswer = namesOther && (!answer.attemptId.empty() || connection.reused);
         if (foreignAnswer && !mutated(Mutation::TrustForeignAnswer)) {
             std::string discarded;
             const boost::system::error_code discardError = co_await readBody(connection, *parser, discarded);
--- a/standins/platformfleet.cpp
+++ b/standins/platformfleet.cpp
@@ -70,6 +70,12 @@
     return size + text + "\r\n";
 }
 
+/** A refusal that names no request. */
+std::string strayRefusal()
+{
+    return "HTTP/1.1 503 Service Unavailable\r\n" + line(wire_names::kNotExecuted, "1") + "Content-Length: 0\r\n\r\n";
+}
+
 bool sendsStream(RunnerAct act)
 {
     return act == RunnerAct::Answer || act == RunnerAct::CutStream || act == RunnerAct::WithoutLength || act == RunnerAct::CutStreamWithoutLength
@@ -441,8 +447,9 @@
         const bool full = act == RunnerAct::Refuse;
         const std::string status = full ? "503 Service Unavailable" : "421 Misdirected Request";
         const std::string wait = full && !retryAfter.empty() ? line(wire_names::kRetryAfter, retryAfter) : "";
+        const std::string id = refusalsNameRequest ? line(wire_names::kAttemptId, header(request, wire_names::kAttemptId)) : "";
         co_return co_await write(
-            stream, "HTTP/1.1 " + status + "\r\n" + line(wire_names::kNotExecuted, "1") + wait + runnerHeaderLines() + "Content-Length: 0\r\n\r\n");
+            stream, "HTTP/1.1 " + status + "\r\n" + line(wire_names::kNotExecuted, "1") + id + wait + runnerHeaderLines() + "Content-Length: 0\r\n\r\n");
     }
     attemptsRun.push_back(header(request, wire_names::kAttemptId));
     co_await pause(workTime);
@@ -469,6 +476,9 @@
     case RunnerAct::StrayFirst:
         open = co_await write(stream, strayResponse() + head(request, "200 OK", sealed + length) + body);
         break;
+    case RunnerAct::RefusalFirst:
+        open = co_await write(stream, strayRefusal() + head(request, "200 OK", sealed + length) + body);
+        break;
     case RunnerAct::Unsealed:
         open = co_await write(stream, head(request, "200 OK", length) + body);
         break;
--- a/standins/platformfleet.h
+++ b/standins/platformfleet.h
@@ -92,6 +92,7 @@
     WithoutLength, ///< sends a response without a length, delimited by the end of the connection
     Truncated, ///< closes the connection in the middle of the body
     StrayLast, ///< sends a second response after the correct one
+    RefusalFirst, ///< sends a refusal that names no request before the correct response
     Garbage, ///< sends bytes that are not an HTTP response
     CutStream, ///< closes a stream in the middle of the third event that it sends
     CutStreamWithoutLength, ///< the same, and the stream has no chunks: only the end of the connection ends it
@@ -111,6 +112,7 @@
     /** Simulates the end of the process: closes open connections and refuses new ones. */
     void end();
     bool stalled = false; ///< accepts connections and reads nothing
+    bool refusalsNameRequest = true; ///< refusals carry the id of the request, as all other responses do
     bool streamsHaveLength = true; ///< false: streams have no chunks, and only the end of the connection ends them
     bool silentCrash = false; ///< end() leaves open connections open, so callers aren't notified
     /** Sets the id of the next incarnation; call listen() afterwards. */
--- a/testing/gateway_test.cpp
+++ b/testing/gateway_test.cpp
@@ -424,4 +424,30 @@
     EXPECT_EQ(a.abandonedStreams + b.abandonedStreams, 1U);
 }
 
+// Guards against a refusal that a faulty runner sends late, after an earlier answer, and that is taken for the refusal of the request that waits on the
+// connection: that one then runs at a second runner too.
+TEST_F(GatewayTest, RefusalThatNamesNoRequestIsNotTheRefusalOfTheNextOne)
+{
+    start();
+    while (a.receivedRequests.empty() || b.receivedRequests.empty()) { // until there is a kept connection to each
+        ASSERT_EQ(ask(request("/once/x")).status, 200U);
+    }
+    setActForBoth(RunnerAct::RefusalFirst);
+    const std::size_t before = ranRequests();
+    for (unsigned i = 0; i < 6; ++i) {
+        EXPECT_EQ(ask(request("/once/x")).status, 200U);
+    }
+    EXPECT_EQ(ranRequests() - before, 6U) << "each request ran once";
+}
+
+// The other side: on a new connection there was no earlier request that the refusal could belong to.
+TEST_F(GatewayTest, RefusalThatNamesNoRequestIsTakenOnANewConnection)
+{
+    start();
+    a.refusalsNameRequest = b.refusalsNameRequest = false;
+    setActForFirstRequest(RunnerAct::Refuse);
+    EXPECT_EQ(ask(request("/once/x")).status, 200U);
+    EXPECT_EQ(ranRequests(), 1U);
+}
+
 } // namespace fulmarlink::testing
