A call does not use a connection on which bytes are left over

Cause: HttpConnection kept its connection and buffer after an answer and sent the next call without looking at them. A second answer to one order was read as the answer to the next, which a rank had left unanswered; the leader took it for armed and released the pass. Connections for requests were looked at before they are used again; those for orders, reports, counts, placements and the store's calls were not.

Why this works: with bytes in the buffer or ready to be read, or closed by the peer, the connection is replaced before the call. One function for both kinds of connection.

--- a/fulmarlink/httpconnection.cpp
+++ b/fulmarlink/httpconnection.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <utility>
 
 #include "fulmarlink/resultcode.h"
@@ -37,6 +38,13 @@
     beast::flat_buffer buffer;
 };
 
+bool isReadable(beast::tcp_stream &stream)
+{
+    // Unlike a read, poll() leaves the error of a reset connection to be reported by the next read.
+    pollfd descriptor{stream.socket().native_handle(), POLLIN, 0};
+    return ::poll(&descriptor, 1, 0) != 0;
+}
+
 void tuneSocket(beast::tcp_stream &stream)
 {
     boost::system::error_code ignored; // options only make a connection better, none is needed
@@ -67,6 +75,9 @@
     HttpResult result;
     boost::system::error_code error;
     auto token = asio::redirect_error(asio::use_awaitable, error);
+    if (m_parts && (m_parts->buffer.size() > 0 || isReadable(m_parts->stream))) {
+        close(); // it would take what is left of the last answer, or a second one, for the answer to this call
+    }
     if (!m_parts) {
         m_parts = std::make_unique<Parts>(m_executor);
         const auto address = asio::ip::make_address(m_target.address, error);
--- a/fulmarlink/httpconnection.h
+++ b/fulmarlink/httpconnection.h
@@ -16,7 +16,8 @@
  *
  * Contract: a call that gets no answer within its time closes the connection, since an
  * answer that was lost means that nothing more comes on it. A call that finds the kept
- * connection closed is sent once more on a new one only if @p repeatable.
+ * connection closed is sent once more on a new one only if @p repeatable. Bytes that follow
+ * an answer belong to no call: the next call does not use their connection.
  * Not thread-safe.
  */
 class HttpConnection
@@ -39,6 +40,9 @@
     bool m_busy = false;
 };
 
+/** Whether bytes, the peer's close or an error can be read from @p stream now. None of it is taken. */
+bool isReadable(boost::beast::tcp_stream &stream);
+
 /** The socket options of every connection that this program opens or accepts. */
 void tuneSocket(boost::beast::tcp_stream &stream);
 
--- a/fulmarlink/targetconnections.cpp
+++ b/fulmarlink/targetconnections.cpp
@@ -4,7 +4,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cerrno>
-#include <poll.h>
 #include <sys/socket.h>
 
 #include "fulmarlink/httpconnection.h"
@@ -26,9 +25,7 @@
 
 bool TargetConnection::hasInput()
 {
-    // Unlike a read, poll() leaves the error of a reset connection to be reported by the next read.
-    pollfd descriptor{stream.socket().native_handle(), POLLIN, 0};
-    return buffer.size() > 0 || ::poll(&descriptor, 1, 0) != 0;
+    return buffer.size() > 0 || isReadable(stream);
 }
 
 ConnectionEnd TargetConnection::takeEnd()
--- a/testing/gatewaygroups_test.cpp
+++ b/testing/gatewaygroups_test.cpp
@@ -158,6 +158,36 @@
         4s));
 }
 
+// Guards against a second answer to one order that is taken for the answer to the next one, which got none: the pass is then released although a rank
+// is not armed.
+TEST_F(GatewayGroupsTest, SecondAnswerToAnOrderIsNotTheAnswerToTheNextOne)
+{
+    PlatformClient client(context.get_executor(), clock, counters, {.store = settings.store});
+    TargetInfo target;
+    target.id = "i-a";
+    target.address = addresses["i-a"];
+    const auto orderResult = [&](RankOrderKind kind) {
+        std::optional<OrderResult> result;
+        RankOrder order;
+        order.kind = kind;
+        asio::co_spawn(context, client.order(target, order), [&](const std::exception_ptr &, OrderResult value) {
+            result = value;
+        });
+        EXPECT_TRUE(runUntil(
+            [&] {
+                return result.has_value();
+            },
+            1s));
+        return result;
+    };
+    setAct(a, RunnerAct::StrayLast);
+    EXPECT_EQ(orderResult(RankOrderKind::Prepare), OrderResult::Accepted);
+    context.run_for(20ms);
+    setAct(a, RunnerAct::Silent);
+    EXPECT_EQ(orderResult(RankOrderKind::Arm), OrderResult::Unknown);
+    EXPECT_EQ(a.receivedRequests.size(), 2U);
+}
+
 // When a rank does not answer an order while a pass is held, all ranks wait until the order times out.
 TEST_F(GatewayGroupsTest, UnansweredArmOrderTimesOutQuickly)
 {
