--- a/testing/unreadableentry_test.cpp
+++ b/testing/unreadableentry_test.cpp
@@ -23,9 +23,9 @@
     std::string text;
 };
 
-void PrintTo(const UnreadableSpec &spec, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const UnreadableSpec &spec)
 {
-    *out << spec.name;
+    return out << spec.name;
 }
 
 std::vector<UnreadableSpec> unreadableSpecs()
