--- a/bench/runnerlist_bench.cpp
+++ b/bench/runnerlist_bench.cpp
@@ -11,6 +11,7 @@
 #include "fulmarlink/targettable.h"
 #include "platform/configurationdecoder.h"
 #include "platform/storeobjects.h"
+#include "standins/platformfleet.h"
 
 namespace
 {
@@ -23,13 +24,14 @@
 /** A page of the store with @p runners entries, of which, if @p malformed, each second one can't be parsed. */
 std::string answer(unsigned runners, bool malformed)
 {
+    json::object entry = standins::runnerEntry("model-runners", {"10.128.0.9", 8080}, 12);
+    entry["models"] = json::array{json::object{{"name", "m"}, {"version", 1}, {"adapters", json::array()}}};
+    const std::string sound = json::serialize(entry);
+    const std::string unreadable = sound.substr(0, sound.size() - 1) + R"(,"note":"\udcff"})";
     std::string items;
     for (unsigned i = 0; i < runners; ++i) {
-        const bool unreadable = malformed && i % 2 == 0;
-        items
-            += (items.empty() ? "" : ",") + (R"({"metadata":{"name":"i-)" + std::to_string(10'000'000 + i) + R"(","revision":)" + std::to_string(i + 1))
-               + R"(,"created":1,"finalizers":[],"deleting":false},"spec":{"service":"huvo11a","addr":")" + (unreadable ? R"(\udcff)" : "10.128.0.9:8080")
-               + R"(","zone":"lx-alfragide","version":"v1","slots":12,"state":"ready","cold_left_ms":0,"stage":"unified","models":[{"name":"m","version":1,"adapters":[]}],"call_seq":4,"born":1790000000002},"status":null})";
+        items += (items.empty() ? "" : ",") + (R"({"metadata":{"name":"i-)" + std::to_string(10'000'000 + i) + R"(","revision":)" + std::to_string(i + 1))
+                 + R"(,"created":1,"finalizers":[],"deleting":false},"spec":)" + (malformed && i % 2 == 0 ? unreadable : sound) + R"(,"status":null})";
     }
     return R"({"items":[)" + items + R"(],"more":false,"current_rev":530})";
 }
--- a/testing/unreadablerecords_test.cpp
+++ b/testing/unreadablerecords_test.cpp
@@ -6,6 +6,8 @@
 #include "fulmarlink/limitwatch.h"
 #include "fulmarlink/resultcode.h"
 #include "fulmarlink/signalwatch.h"
+#include "platform/configurationdecoder.h"
+#include "platform/rankcodec.h"
 #include "testing/harness/fakegroup.h"
 #include "testing/harness/gatewayfixture.h"
 #include "testing/harness/twogroups.h"
@@ -241,4 +243,52 @@
     EXPECT_NE(counters.text().find("fulmarlink_malformed_runner_answers 0\n"), std::string::npos);
 }
 
+// Guards against defaults in place of what a rank has said and can't be read: not in a group, not armed, no expert selected.
+TEST(PlatformCodec, RankAnswersThatCannotBeReadStateNothing)
+{
+    for (const char *text : {"null",
+                             "7",
+                             R"({"group":7})",
+                             R"({"group":{"name":7}})",
+                             R"({"group":{"name":"g","rank":"first"}})",
+                             R"({"group":{},"armed":"yes"})",
+                             R"({"group":{},"armed":{"version":"4"}})",
+                             R"({"group":{},"armed":{"version":4,"step":[]}})",
+                             R"({"group":{},"held":true})",
+                             R"({"group":{},"map":[]})",
+                             R"({"group":{},"step":-1})"}) {
+        std::error_code error;
+        const RankReport report = decodeReport(json::parse(text), error);
+        EXPECT_EQ(error, ResultCode::AnswerUnreadable) << text;
+        EXPECT_NE(report.problem, "") << text;
+    }
+    for (const char *text : {"null", R"({"counts":7})", R"({"counts":[1,"2"]})", R"({"counts":[1,-2]})", R"({"epoch":[],"counts":[1]})"}) {
+        const ExpertCountsRead read = decodeCounts(json::parse(text), 1);
+        EXPECT_EQ(read.error, ResultCode::AnswerUnreadable) << text;
+        EXPECT_TRUE(read.counts.empty()) << text;
+    }
+    for (const char *text : {"null",
+                             R"({"map":7})",
+                             R"({"map":{"version":"4","experts":[]}})",
+                             R"({"map":{"version":4,"experts":[[0],[null]]}})",
+                             R"({"map":{"version":4,"experts":[0]}})",
+                             R"({"map":{"version":4,"experts":[[4294967296]]}})"}) {
+        EXPECT_EQ(decodePlacement(json::parse(text)).error, ResultCode::AnswerUnreadable) << text;
+    }
+    EXPECT_EQ(decodePlacement(json::parse("{}")).error, ResultCode::ObjectNotFound);
+}
+
+// Guards against a name of another writer that ends a header line and begins another one.
+TEST(PlatformCodec, TargetWhoseNameCannotStandInAHeaderIsRejected)
+{
+    const json::value entry
+        = json::parse(R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","version":"v1","slots":12,"state":"ready","cold_left_ms":0,"call_seq":0})");
+    std::string problem;
+    EXPECT_TRUE(decodeTarget("i-7f3a91c2", entry, problem));
+    for (const std::string &name : {std::string("i\r\nTenant: x"), std::string("i a"), std::string("i\xff"), std::string("i\0", 2), std::string(257, 'i')}) {
+        EXPECT_FALSE(decodeTarget(name, entry, problem)) << name;
+        EXPECT_NE(problem.find("name"), std::string::npos);
+    }
+}
+
 } // namespace fulmarlink::testing
