--- a/review/standin-2/client.cpp
+++ b/review/standin-2/client.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <unistd.h>
 
 namespace review
 {
@@ -23,6 +24,9 @@
 
 constexpr auto kConnectTime = std::chrono::seconds(1); ///< clients allow a new connection one second
 constexpr auto kProbeTime = std::chrono::seconds(1);
+constexpr std::uint16_t kFirstPort = 20'000; ///< below the ports that the system gives to outgoing connections
+constexpr std::uint16_t kPortRange = 10'000;
+constexpr int kPortsApart = 97; ///< between processes that are started one after the other
 
 tcp::endpoint loopback(std::uint16_t port)
 {
@@ -94,9 +98,17 @@
 {
     std::vector<tcp::acceptor> acceptors;
     std::vector<std::uint16_t> ports;
-    for (std::size_t i = 0; i < count; ++i) {
-        acceptors.emplace_back(context, loopback(0));
-        ports.push_back(acceptors.back().local_endpoint().port());
+    const auto offset = static_cast<std::uint16_t>(getpid() * kPortsApart % kPortRange);
+    for (std::uint16_t i = 0; i < kPortRange && ports.size() < count; ++i) {
+        const auto port = static_cast<std::uint16_t>(kFirstPort + (offset + i) % kPortRange);
+        boost::system::error_code error;
+        tcp::acceptor acceptor(context);
+        acceptor.open(tcp::v4());
+        acceptor.bind(loopback(port), error);
+        if (!error) {
+            acceptors.push_back(std::move(acceptor));
+            ports.push_back(port);
+        }
     }
     return ports;
 }
--- a/review/standin-2/client.h
+++ b/review/standin-2/client.h
@@ -35,7 +35,7 @@
 /** True if the host answers its readiness probe with 200. */
 boost::asio::awaitable<bool> isReady(std::uint16_t port);
 
-/** Free loopback ports. */
+/** Free loopback ports that the system gives to no outgoing connection. */
 std::vector<std::uint16_t> freePorts(boost::asio::io_context &context, std::size_t count);
 
 } // namespace review
