Review: the stand-ins keep to the spells and to the form of starts

A rank sends no extra answer after its spell, runners tell their start in Unix milliseconds, hosts are stopped by SIGTERM and, after grace_s, SIGKILL, and an interrupted script ends what it has started.

--- a/review/standin-2/hosts.sh
+++ b/review/standin-2/hosts.sh
@@ -29,6 +29,18 @@
     done <"$folder/ports"
 }
 
+# Stops a host as the platform does: SIGTERM, and SIGKILL after grace_s.
+stop_host() {
+    local pid=${host_pids[$1]} i
+    kill -TERM "$pid"
+    for i in $(seq 80); do
+        kill -0 "$pid" 2>/dev/null || break
+        sleep 0.1
+    done
+    kill -KILL "$pid" 2>/dev/null
+    wait "$pid"
+}
+
 # Ends all processes that the script has started.
 end_all() {
     local pid
--- a/review/standin-2/platform.cpp
+++ b/review/standin-2/platform.cpp
@@ -1,5 +1,7 @@
 #include "review/standin-2/platform.h"
 
+#include <chrono>
+
 namespace review
 {
 
@@ -20,6 +22,12 @@
             {"born", born}};
 }
 
+std::uint64_t startTime()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
 json::object route(const std::string &name, const std::string &prefix, const std::string &service, const std::string &kind)
 {
     const bool streaming = kind == "streaming";
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -18,6 +18,9 @@
 /** The entry that a runner keeps in the platform's store. */
 boost::json::object serverEntry(const std::string &service, std::uint16_t port, unsigned slots, std::uint64_t born);
 
+/** A start time as runners tell it: Unix milliseconds. */
+std::uint64_t startTime();
+
 /** A route of a configuration; @p kind as the platform's page names them. */
 boost::json::object route(const std::string &name, const std::string &prefix, const std::string &service, const std::string &kind);
 
--- a/review/standin-2/rankserver.cpp
+++ b/review/standin-2/rankserver.cpp
@@ -187,6 +187,9 @@
             }
             continue;
         }
+        if (trouble.extraAnswers <= 0) {
+            extra.clear(); // the spell is over
+        }
         if (!extra.empty()) {
             log(m_id + " sends its last answer on this connection a second time: " + extra.substr(0, extra.find('\r')));
             co_await asio::async_write(connection, asio::buffer(extra), token);
