--- a/standins/platformfleet.cpp
+++ b/standins/platformfleet.cpp
@@ -440,7 +440,8 @@
 
 asio::awaitable<bool> PlatformRunner::answer(boost::beast::tcp_stream &stream, const HttpRequest &request, RunnerAct act)
 {
-    const std::string body = "from " + m_id;
+    const bool large = largeAnswerBytes > 0 && request.target().starts_with("/large/");
+    const std::string body = large ? std::string(largeAnswerBytes, 'x') : "from " + m_id;
     const std::string sealed = line(wire_names::kServerSeal, m_id);
     const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     if (act == RunnerAct::Refuse || act == RunnerAct::Misdirected) {
--- a/standins/platformfleet.h
+++ b/standins/platformfleet.h
@@ -124,6 +124,7 @@
     std::function<RunnerAct(const HttpRequest &)> act;
     std::chrono::milliseconds workTime{0}; ///< delay before a response and between events
     unsigned events = 6; ///< number of events in a stream
+    std::size_t largeAnswerBytes = 0; ///< length of the body of answers to paths that begin with /large/
     std::string limit; ///< rate limit in requests per second, sent with each response; empty: not sent
     std::string retryAfter; ///< Retry-After in seconds, sent with RunnerAct::Refuse; empty: not sent
     bool leaving = false; ///< announced in each response
