Requests of all callers share the memory of the machine

What callers saw: nothing, until the process of a host ran out of memory and all of its connections were reset.

Cause: what a caller chooses the amount of was bounded for some of its parts and for one connection only. The parser's read buffer had no bound, so an incomplete trailer section or first line of a chunk grew without end; the header limit applies to what is not parsed yet, so fields that arrive one by one pass without end; a field takes some 20 times its bytes; and nothing bounded the sum.

Ruled out: a check for each kind of input (leaves the next one open), a bound on announced lengths (most is not announced), waiting for room (requests that all wait would stop each other), fewer connections (2,050 x 4 MB is 50 machines).

Change: RequestReader makes each read and each step of the parser, with a bounded buffer and a head counted over all reads. What a request holds is taken from RequestMemory as bytes come; its size is three tenths of `memory_mb`, which the platform fills in. Small and large requests have shares of their own. If a share is used up, the incomplete request that has gone without progress for longest is refused with 503, request-memory-full and Retry-After. Freed blocks above 64 KB go back to the system.

--- a/app/rungateway.cpp
+++ b/app/rungateway.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <iostream>
+#include <malloc.h>
 #include <memory>
 
 #include "app/commands.h"
@@ -15,6 +16,7 @@
 #include "fulmarlink/hostclock.h"
 #include "fulmarlink/log.h"
 #include "fulmarlink/platform.h"
+#include "fulmarlink/requestmemory.h"
 #include "platform/platformclient.h"
 #include "platform/platformprotocol.h"
 
@@ -24,6 +26,8 @@
 namespace
 {
 
+constexpr int kReturnedBlockBytes = RequestMemory::kSmallBytes; ///< larger blocks are returned to the system as soon as they are freed
+constexpr int kKeptHeapBytes = 1 << 20; ///< free memory at the end of the heap that is kept, so that usual work does not resize the heap
 constexpr std::chrono::seconds kFileCheck{2}; ///< settings may change without a signal
 constexpr std::chrono::milliseconds kShutdownReserve{700}; ///< before the platform's SIGKILL, for the last log lines and closed connections
 
@@ -100,6 +104,18 @@
 
 } // namespace
 
+namespace
+{
+
+/** By default the threshold grows with each large block that is freed, and the heap then keeps the memory of large requests. */
+void limitKeptMemory()
+{
+    mallopt(M_MMAP_THRESHOLD, kReturnedBlockBytes);
+    mallopt(M_TRIM_THRESHOLD, kKeptHeapBytes);
+}
+
+} // namespace
+
 ExitCode runGateway(int argc, const char **argv)
 {
     CommandLine line("gateway", "Runs an entry host's process that calls runners directly. SIGTERM: drain, then exit. SIGHUP: reload.", "SETTINGS");
@@ -118,6 +134,7 @@
         return ExitCode::Usage;
     }
     std::signal(SIGPIPE, SIG_IGN);
+    limitKeptMemory();
     boost::asio::io_context context(1);
     Counters counters;
     const HostClock clock;
--- a/fulmarlink/gateway.cpp
+++ b/fulmarlink/gateway.cpp
@@ -1,6 +1,7 @@
 #include "fulmarlink/gateway.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -40,6 +41,11 @@
 constexpr Duration kMinTargetsInterval = std::chrono::milliseconds(100); ///< between reads of the list that requests ask for
 constexpr Duration kHousekeeping = std::chrono::milliseconds(200);
 constexpr Duration kMinDrainTime = std::chrono::milliseconds(2600); ///< the platform probes readiness each second and removes a host after two failures
+constexpr auto kShareNames = std::to_array<std::pair<MemoryLease::Share, std::string_view>>({
+    {MemoryLease::Share::SmallRequests, "small-requests"},
+    {MemoryLease::Share::LargeRequests, "large-requests"},
+    {MemoryLease::Share::Answers, "answers"},
+});
 constexpr unsigned kHttpOk = 200;
 constexpr unsigned kHttpUnavailable = 503;
 constexpr unsigned kHttpNotFound = 404;
@@ -75,8 +81,14 @@
     , m_proofAge(m_counters.registerCounter("fulmarlink_configuration_proof_age_ms"))
     , m_requestsInProgress(m_counters.registerCounter("fulmarlink_requests_in_progress"))
     , m_staleConfigurations(m_counters.registerCounter("fulmarlink_stale_configurations_total"))
+    , m_evictedRequests(m_counters.registerCounter("fulmarlink_requests_evicted_total"))
     , m_nextTargetsRead(context)
 {
+    for (const auto &[share, name] : kShareNames) {
+        const std::string label = "{share=\"" + std::string(name) + "\"}";
+        m_requestMemory[share] = m_counters.registerCounter("fulmarlink_request_memory_bytes" + label);
+        m_requestMemoryLimits[share] = m_counters.registerCounter("fulmarlink_request_memory_limit_bytes" + label);
+    }
     m_state.refreshTargets = [this] {
         if (m_clock.now() - m_targetsReadBegan >= kMinTargetsInterval) {
             m_nextTargetsRead.cancel();
@@ -100,16 +112,18 @@
 
 void Gateway::startHttp()
 {
-    m_readiness = std::make_shared<HttpServer>(m_context.get_executor(), [this](HttpRequest) -> asio::awaitable<HttpResponse> {
+    const auto answerReadiness = [this](HttpRequest) -> asio::awaitable<HttpResponse> {
         co_return ready() ? textResponse(kHttpOk, "ready\n") : textResponse(kHttpUnavailable, "not ready\n");
-    });
+    };
+    m_readiness = std::make_shared<HttpServer>(m_context.get_executor(), answerReadiness);
     m_readiness->listen(m_state.settings.readiness.address, m_state.settings.readiness.port);
     if (m_state.settings.metrics.port == 0) {
         return;
     }
-    m_metrics = std::make_shared<HttpServer>(m_context.get_executor(), [this](HttpRequest request) -> asio::awaitable<HttpResponse> {
+    const auto answerMetrics = [this](HttpRequest request) -> asio::awaitable<HttpResponse> {
         co_return request.target() == "/metrics" ? textResponse(kHttpOk, m_counters.text()) : textResponse(kHttpNotFound, "see /metrics\n");
-    });
+    };
+    m_metrics = std::make_shared<HttpServer>(m_context.get_executor(), answerMetrics);
     m_metrics->listen(m_state.settings.metrics.address, m_state.settings.metrics.port);
 }
 
@@ -185,6 +199,7 @@
     const bool addressesKept = settings.callers.port == m_state.settings.callers.port && settings.callers.address == m_state.settings.callers.address;
     logChange("reloaded", {{"addresses_kept", addressesKept ? "true" : "false: they change at the next start"}});
     m_state.settings = std::move(settings);
+    m_state.requestMemory.setLimits(m_state.settings.requestMemory);
     m_state.updateBudgets();
 }
 
@@ -237,6 +252,7 @@
                            {"routes", std::to_string(accepted.routes.size())},
                            {"customers", std::to_string(accepted.customers.size())},
                            {"read_ms", std::to_string((m_clock.now() - read.began).count() / 1000)}});
+                checkBodyLimit();
             }
             if (m_state.config.active()) {
                 watchGroups();
@@ -253,6 +269,16 @@
     }
 }
 
+/** The memory of the machine goes before the configuration: a body that does not fit is refused, whatever its limit allows. */
+void Gateway::checkBodyLimit() const
+{
+    const std::size_t bodyLimit = m_state.config.active()->configuration.limits.maxBodyBytes;
+    const std::size_t memory = m_state.requestMemory.limit(MemoryLease::Share::LargeRequests);
+    if (bodyLimit > memory) {
+        logWarning("body-limit-exceeds-memory", {{"max_body_bytes", std::to_string(bodyLimit)}, {"memory", std::to_string(memory)}});
+    }
+}
+
 void Gateway::updateConnectionLimits()
 {
     const auto active = m_state.config.active();
@@ -384,6 +410,11 @@
             m_signalWatch.removeUnlistedRunners();
         }
         m_counters.set(m_requestsInProgress, m_state.unansweredRequests);
+        m_counters.set(m_evictedRequests, m_state.requestMemory.evictions());
+        for (const auto &[share, name] : kShareNames) {
+            m_counters.set(m_requestMemory[share], m_state.requestMemory.used(share));
+            m_counters.set(m_requestMemoryLimits[share], m_state.requestMemory.limit(share));
+        }
         m_counters.set(m_proofAge, static_cast<std::uint64_t>(m_state.config.age(m_clock.now()).count() / 1000));
         if (m_state.drainStartedAt && m_clock.now() - *m_state.drainStartedAt >= kMinDrainTime) {
             m_server.closeIdle();
--- a/fulmarlink/gateway.h
+++ b/fulmarlink/gateway.h
@@ -72,6 +72,7 @@
     boost::asio::awaitable<void> sleep(Duration duration);
     /** Divides each service's connection limit among the live hosts. */
     void updateConnectionLimits();
+    void checkBodyLimit() const;
     /** Starts a GroupWatch for each pool with experts that has none yet. */
     void watchGroups();
     void updateStoreStatus(bool reachable, const std::string &call, const std::string &error);
@@ -99,6 +100,9 @@
     Counters::Id m_configVersion;
     Counters::Id m_proofAge;
     Counters::Id m_requestsInProgress;
+    Counters::Id m_evictedRequests;
+    std::map<MemoryLease::Share, Counters::Id> m_requestMemory;
+    std::map<MemoryLease::Share, Counters::Id> m_requestMemoryLimits;
     Counters::Id m_staleConfigurations;
     LiveHosts m_liveHosts;
     TimePoint m_renewEntryAt{}; ///< time of this host's next liveness write
--- a/fulmarlink/gatewayserver.cpp
+++ b/fulmarlink/gatewayserver.cpp
@@ -8,14 +8,17 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <optional>
 #include <sys/socket.h>
 
 #include "fulmarlink/callerprotocol.h"
 #include "fulmarlink/gatewayexchange.h"
 #include "fulmarlink/httpconnection.h"
 #include "fulmarlink/log.h"
+#include "fulmarlink/memorylease.h"
+#include "fulmarlink/memoryleaseowner.h"
+#include "fulmarlink/requestreader.h"
 #include "fulmarlink/supervised.h"
 
 namespace fulmarlink
@@ -28,11 +31,12 @@
 namespace
 {
 
-constexpr std::size_t kFirstReadBytes = 4096;
 constexpr int kBacklog = 1024;
 constexpr std::chrono::milliseconds kAcceptRetryDelay{20}; ///< delay before the next accept after a failure, as when file descriptors have run out
 constexpr std::chrono::milliseconds kBodyTimeout{10'000}; ///< enough for a body of the maximum size over a slow link
-constexpr std::chrono::milliseconds kRejectionTimeout{2000};
+constexpr std::chrono::milliseconds kRejectionTimeout{2000}; ///< for an answer to a request that was not read, and again for what its caller still sends
+constexpr std::chrono::milliseconds kMinMemoryRetryAfter{200}; ///< senders that make no progress give way at once, so there is room soon
+constexpr std::chrono::milliseconds kMemoryRetrySpread{400};
 
 ResultCode unreadableRequestCode(const boost::system::error_code &error)
 {
@@ -42,9 +46,26 @@
     if (error == http::error::body_limit) {
         return ResultCode::BodyTooLarge;
     }
+    if (error == asio::error::no_buffer_space) {
+        return ResultCode::RequestMemoryFull;
+    }
     return error == boost::beast::error::timeout ? ResultCode::SlowSender : ResultCode::MalformedRequest;
 }
 
+/** Whether @p error, of a read, means that nobody waits for an answer. */
+bool isClosedByCaller(const boost::system::error_code &error)
+{
+    const bool failed = error.category() == asio::error::get_system_category() && error != asio::error::no_buffer_space;
+    return failed || error == http::error::end_of_stream || error == http::error::partial_message;
+}
+
+std::string addressOf(const tcp::socket &socket)
+{
+    boost::system::error_code error;
+    const tcp::endpoint endpoint = socket.remote_endpoint(error);
+    return error ? "unknown" : endpoint.address().to_string() + ':' + std::to_string(endpoint.port());
+}
+
 /** Cancels a read after a timeout without closing the connection, so that an error response can still be sent. */
 class ReadTimeout
 {
@@ -85,14 +106,28 @@
 
 } // namespace
 
-struct GatewayServer::Connection {
+struct GatewayServer::Connection : MemoryLeaseOwner {
     explicit Connection(tcp::socket socket)
         : stream(std::move(socket))
     {
     }
 
+    void evict() override
+    {
+        reader->discardBody();
+        stream.cancel();
+    }
+
+    void endRequest()
+    {
+        reader = nullptr;
+        lease.reset();
+    }
+
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
+    std::optional<MemoryLease> lease; ///< of the current request
+    RequestReader *reader = nullptr; ///< of the current request, until it is complete
     GatewayExchange *exchange = nullptr; ///< the request in progress; null: none
     bool watching = false;
     bool reading = false; ///< at least one byte of the current request has arrived
@@ -164,6 +199,7 @@
         m_state.counters.add(m_accepted);
         if (!makeRoom()) {
             m_state.counters.add(m_closedUnread);
+            logRequest("connection-closed-unread", {{"caller", addressOf(socket)}, {"open", std::to_string(m_connections.size())}});
             continue; // closes the socket
         }
         auto connection = std::make_shared<Connection>(std::move(socket));
@@ -171,11 +207,11 @@
     }
 }
 
-/** Returns false if the maximum number of connections is open and none of them is idle. */
+/** Returns false if the maximum number of connections is open and all of them are needed. */
 bool GatewayServer::makeRoom()
 {
     const bool hasRoom = m_connections.size() < m_state.settings.maxCallerConnections;
-    Connection *const idle = hasRoom ? nullptr : longestIdle();
+    Connection *const idle = hasRoom ? nullptr : leastNeeded();
     const bool full = !hasRoom && idle == nullptr;
     if (full != m_full) {
         m_full = full;
@@ -189,8 +225,8 @@
     return !full;
 }
 
-/** The connection that has been without a request for longest; null if there is none, or one has just begun to arrive there. */
-GatewayServer::Connection *GatewayServer::longestIdle() const
+/** A connection whose last answer has been sent, or else the one that has been idle for longest; null if there is neither. */
+GatewayServer::Connection *GatewayServer::leastNeeded() const
 {
     Connection *result = nullptr;
     for (Connection *connection : m_connections) {
@@ -223,6 +259,7 @@
         logWarning("request-broke-off", {{"error", whatOf(failure)}});
     }
     connection->exchange = nullptr;
+    connection->endRequest();
     m_connections.erase(connection.get());
     m_state.counters.set(m_open, m_connections.size());
     connection->stream.close();
@@ -248,61 +285,94 @@
     });
 }
 
-asio::awaitable<bool> GatewayServer::readRequest(Connection &connection, RequestParser &parser)
+/** Waits for the first byte of a request. Returns false if there will be none. */
+asio::awaitable<bool> GatewayServer::awaitRequest(Connection &connection)
 {
+    connection.reading = connection.buffer.size() > 0;
+    if (connection.reading) {
+        co_return true;
+    }
+    if (connection.buffer.capacity() > RequestReader::kReadBytes) {
+        connection.buffer.shrink_to_fit();
+    }
     const auto active = m_state.config.active();
-    const CallerLimits limits = active ? active->configuration.limits : CallerLimits();
     boost::system::error_code error;
-    auto token = asio::redirect_error(asio::use_awaitable, error);
-    connection.reading = connection.buffer.size() > 0;
-    if (!connection.reading) {
-        connection.stream.expires_after(limits.idleTimeout);
-        const std::size_t bytes = co_await connection.stream.async_read_some(connection.buffer.prepare(kFirstReadBytes), token);
-        // closeIdle() may have closed the socket after the read completed; the answer could not be delivered, so the request is not accepted.
-        const bool closed = !connection.stream.socket().is_open();
-        if (error || bytes == 0 || closed) {
-            co_return false;
-        }
-        connection.buffer.commit(bytes);
-        connection.reading = true;
+    connection.stream.expires_after(active ? active->configuration.limits.idleTimeout : CallerLimits().idleTimeout);
+    const std::size_t bytes
+        = co_await connection.stream.async_read_some(connection.buffer.prepare(RequestReader::kReadBytes), asio::redirect_error(asio::use_awaitable, error));
+    // closeIdle() may have closed the socket after the read completed; the answer could not be delivered, so the request is not accepted.
+    const bool closed = !connection.stream.socket().is_open();
+    if (error || bytes == 0 || closed) {
+        co_return false;
     }
-    parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
-    parser.body_limit(limits.maxBodyBytes);
+    connection.buffer.commit(bytes);
+    connection.reading = true;
+    co_return true;
+}
+
+asio::awaitable<bool> GatewayServer::readRequest(Connection &connection, RequestReader &reader, std::chrono::milliseconds headerTimeout)
+{
     connection.stream.expires_never();
     ReadTimeout timeout(m_executor, connection.stream);
-    timeout.start(limits.headerTimeout);
-    co_await http::async_read_header(connection.stream, connection.buffer, parser, token);
-    if (!error && !parser.is_done()) {
+    timeout.start(headerTimeout);
+    boost::system::error_code error = co_await reader.readHead();
+    if (!error && !reader.isDone()) {
         timeout.start(kBodyTimeout);
-        if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        if (boost::beast::iequals(reader.head()[http::field::expect], "100-continue")) {
             http::response<http::empty_body> continueResponse(http::status::continue_, 11);
-            co_await http::async_write(connection.stream, continueResponse, token);
+            co_await http::async_write(connection.stream, continueResponse, asio::redirect_error(asio::use_awaitable, error));
         }
         if (!error) {
-            co_await http::async_read(connection.stream, connection.buffer, parser, token);
+            error = co_await reader.readBody();
         }
     }
     timeout.stop();
+    if (connection.lease->evicted()) {
+        error = asio::error::no_buffer_space;
+    } else if (error && timeout.expired()) {
+        error = boost::beast::error::timeout;
+    }
     if (error) {
-        co_await rejectUnreadable(connection, parser, timeout.expired() ? make_error_code(boost::beast::error::timeout) : error);
+        co_await rejectUnreadable(connection, reader, error);
+        co_return false;
     }
-    co_return !error;
+    connection.lease->markComplete();
+    co_return true;
 }
 
-asio::awaitable<void> GatewayServer::rejectUnreadable(Connection &connection, const RequestParser &parser, boost::system::error_code error)
+asio::awaitable<void> GatewayServer::rejectUnreadable(Connection &connection, RequestReader &reader, boost::system::error_code error)
 {
     const ResultCode code = unreadableRequestCode(error);
-    const bool closed = error == http::error::end_of_stream || error == http::error::partial_message || error.category() == asio::error::get_system_category();
-    logRequest("request-unreadable", {{"result", resultInfo(code).name}, {"error", error.message()}, {"caller_closed", closed ? "true" : "false"}});
+    const ResultInfo &info = resultInfo(code);
+    const bool closed = isClosedByCaller(error);
+    HttpRequest head;
+    head.base() = reader.head();
+    const CallerRequest callerRequest = m_state.protocol.readRequest(head);
+    logRequest("request-unreadable",
+               {{"id", callerRequest.attemptId},
+                {"caller", addressOf(connection.stream.socket())},
+                {"result", info.name},
+                {"error", error.message()},
+                {"received", std::to_string(reader.received())},
+                {"held", std::to_string(connection.lease->bytes())},
+                {"evicted", connection.lease->evicted() ? "true" : "false"},
+                {"small", std::to_string(m_state.requestMemory.used(MemoryLease::Share::SmallRequests))},
+                {"large", std::to_string(m_state.requestMemory.used(MemoryLease::Share::LargeRequests))},
+                {"caller_closed", closed ? "true" : "false"}});
     if (closed) {
         co_return;
     }
+    reader.discardBody();
+    connection.lease->markComplete(); // an eviction would cancel the answer
     m_state.counters.countResult(code);
-    const CallerRequest callerRequest = m_state.protocol.readRequest(parser.get());
-    HttpResponse response(static_cast<http::status>(resultInfo(code).httpStatus), 11);
-    m_state.protocol.writeOwnAnswer(response, callerRequest.attemptId, std::nullopt);
+    HttpResponse response(static_cast<http::status>(info.httpStatus), 11);
+    std::optional<Duration> retryAfter;
+    if (code == ResultCode::RequestMemoryFull) {
+        retryAfter = kMinMemoryRetryAfter + std::chrono::milliseconds(m_state.random() % kMemoryRetrySpread.count());
+    }
+    m_state.protocol.writeOwnAnswer(response, callerRequest.attemptId, retryAfter);
     response.keep_alive(false);
-    response.body() = std::string(resultInfo(code).meaning) + '\n';
+    response.body() = std::string(info.meaning) + '\n';
     response.prepare_payload();
     boost::system::error_code ignored; // the connection is closed in either case
     connection.stream.expires_after(kRejectionTimeout);
@@ -312,18 +382,34 @@
 
 asio::awaitable<bool> GatewayServer::serveRequest(const std::shared_ptr<Connection> &connection)
 {
-    RequestParser parser;
-    const bool read = co_await readRequest(*connection, parser);
-    if (!read) {
+    const bool begun = co_await awaitRequest(*connection);
+    if (!begun) {
         co_return false;
     }
+    const auto active = m_state.config.active();
+    const CallerLimits limits = active ? active->configuration.limits : CallerLimits();
+    connection->lease.emplace(m_state.requestMemory, *connection);
+    HttpRequest request;
+    bool keepAlive = false;
+    {
+        RequestReader reader(connection->stream, connection->buffer, *connection->lease, {limits.maxHeaderBytes, limits.maxBodyBytes});
+        connection->reader = &reader;
+        const bool read = co_await readRequest(*connection, reader, limits.headerTimeout);
+        connection->reader = nullptr;
+        if (!read) {
+            connection->endRequest();
+            co_return false;
+        }
+        keepAlive = reader.keepAlive();
+        request = reader.takeRequest();
+    }
     connection->stream.expires_never();
-    const bool keepAlive = parser.keep_alive();
-    GatewayExchange exchange(m_state, connection->stream, parser.release(), keepAlive);
+    GatewayExchange exchange(m_state, connection->stream, std::move(request), keepAlive);
     connection->exchange = &exchange;
     watchForDisconnect(connection);
     const bool again = co_await exchange.run();
     connection->exchange = nullptr;
+    connection->endRequest();
     connection->reading = false;
     connection->lastUsed = m_state.clock.now();
     co_return again;
--- a/fulmarlink/gatewayserver.h
+++ b/fulmarlink/gatewayserver.h
@@ -3,21 +3,24 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <memory>
 #include <unordered_set>
 
 #include "fulmarlink/gatewaystate.h"
+#include "fulmarlink/resultcode.h"
 
 namespace fulmarlink
 {
 
+class RequestReader;
+
 /**
  * HTTP/1.1 server for callers. Reads complete requests within the configured limits, passes each
  * to a GatewayExchange, and notifies the exchange when its caller disconnects.
  *
- * At most GatewaySettings::maxCallerConnections connections are open. A further one takes the place of an idle
- * one; if there is none, it is closed without reading from it, so that its caller may try another host at once.
+ * At most GatewaySettings::maxCallerConnections connections are open. A further one takes the place of one that has been
+ * answered for good or is idle; if there is none, it is closed without reading from it, so that its caller may try another host
+ * at once. All requests together hold no more than GatewayState::requestMemory allows; one without room is refused as not run.
  */
 class GatewayServer
 {
@@ -33,15 +36,15 @@
 
 private:
     struct Connection;
-    using RequestParser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     boost::asio::awaitable<void> acceptLoop();
     bool makeRoom();
-    Connection *longestIdle() const;
+    Connection *leastNeeded() const;
     boost::asio::awaitable<void> serve(std::shared_ptr<Connection> connection);
     boost::asio::awaitable<bool> serveRequest(const std::shared_ptr<Connection> &connection);
-    boost::asio::awaitable<bool> readRequest(Connection &connection, RequestParser &parser);
-    boost::asio::awaitable<void> rejectUnreadable(Connection &connection, const RequestParser &parser, boost::system::error_code error);
+    boost::asio::awaitable<bool> awaitRequest(Connection &connection);
+    boost::asio::awaitable<bool> readRequest(Connection &connection, RequestReader &reader, std::chrono::milliseconds headerTimeout);
+    boost::asio::awaitable<void> rejectUnreadable(Connection &connection, RequestReader &reader, boost::system::error_code error);
     static void watchForDisconnect(const std::shared_ptr<Connection> &connection);
 
     boost::asio::any_io_executor m_executor;
--- a/fulmarlink/gatewaysettings.cpp
+++ b/fulmarlink/gatewaysettings.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 
+#include "fulmarlink/memoryplan.h"
+
 namespace fulmarlink
 {
 
@@ -14,6 +16,10 @@
 constexpr std::uint64_t kDefaultOpenFiles = 4096;
 constexpr std::uint64_t kMinOpenFiles = 64;
 constexpr std::uint64_t kMaxOpenFiles = 10'000'000;
+constexpr std::uint64_t kDefaultMemoryMb = 256;
+constexpr std::uint64_t kMinMemoryMb = 32; ///< the program itself needs a third of it
+constexpr std::uint64_t kMaxMemoryMb = 1U << 20;
+constexpr std::uint64_t kBytesPerMb = 1U << 20;
 constexpr double kMaxRatio = 10;
 constexpr double kMaxSlack = 1e6;
 constexpr double kMaxWeight = 1e3;
@@ -55,9 +61,12 @@
 {
     GatewaySettings settings;
     const YamlReader reader = YamlReader::parse(text, file, errors);
-    reader.keys({"host", "zone", "log_level", "listen", "store", "bounds", "crashes", "planner", "link_mbps", "max_open_files"});
+    reader.keys({"host", "zone", "log_level", "listen", "store", "bounds", "crashes", "planner", "link_mbps", "max_open_files", "memory_mb"});
     const std::uint64_t openFiles = reader.number("max_open_files", kDefaultOpenFiles, kMinOpenFiles, kMaxOpenFiles);
-    settings.maxCallerConnections = static_cast<std::size_t>(openFiles) / 2;
+    const std::uint64_t memory = reader.number("memory_mb", kDefaultMemoryMb, kMinMemoryMb, kMaxMemoryMb) * kBytesPerMb;
+    const MemoryPlan plan = planMemory(memory, openFiles);
+    settings.maxCallerConnections = plan.callerConnections;
+    settings.requestMemory = plan.requests;
     settings.linkMbps = reader.real("link_mbps", settings.linkMbps, 0, kMaxLinkMbps);
     settings.host = reader.requiredText("host");
     settings.zone = reader.requiredText("zone");
--- a/fulmarlink/gatewaysettings.h
+++ b/fulmarlink/gatewaysettings.h
@@ -6,6 +6,7 @@
 
 #include "fulmarlink/crashpolicy.h"
 #include "fulmarlink/httpclient.h"
+#include "fulmarlink/requestmemory.h"
 #include "fulmarlink/yamlreader.h"
 
 namespace fulmarlink
@@ -21,6 +22,7 @@
     std::string logLevel = "info";
     HttpTarget callers; ///< listening address for callers
     std::size_t maxCallerConnections = 2048; ///< open at a time; the rest of the process's descriptors is left to runners and the store
+    RequestMemoryLimits requestMemory; ///< held by requests of callers
     HttpTarget readiness; ///< listening address of the platform's readiness probe
     HttpTarget metrics; ///< port 0: no metrics server
     HttpTarget store;
--- a/fulmarlink/gatewaystate.cpp
+++ b/fulmarlink/gatewaystate.cpp
@@ -42,6 +42,7 @@
     , counters(theCounters)
     , protocol(theProtocol)
     , targets(tableOptions(settings))
+    , requestMemory(settings.requestMemory)
     , crashes(settings.crashes)
     , startedAt(theClock.now())
     , random(std::random_device()())
--- a/fulmarlink/gatewaystate.h
+++ b/fulmarlink/gatewaystate.h
@@ -15,6 +15,7 @@
 #include "fulmarlink/latencyhistogram.h"
 #include "fulmarlink/poolgate.h"
 #include "fulmarlink/recentmaximum.h"
+#include "fulmarlink/requestmemory.h"
 #include "fulmarlink/retryafterpacer.h"
 #include "fulmarlink/runnerattempts.h"
 #include "fulmarlink/runnersignals.h"
@@ -80,6 +81,7 @@
     const CallerProtocol &protocol;
     ConfigState config;
     TargetTable targets;
+    RequestMemory requestMemory; ///< held by requests of callers
     TargetConnections *connections = nullptr;
     RunnerAttempts attempts;
     CrashHistory crashes; ///< crashes attributed to requests, merged from all hosts
--- a/fulmarlink/resultcode.h
+++ b/fulmarlink/resultcode.h
@@ -60,6 +60,7 @@
     RequestEndsRunners = 135,
     RunnersLimited = 136,
     RunnersBackingOff = 137,
+    RequestMemoryFull = 138,
 
     // The outcome is unknown, or the request ran and its answer can't be given.
     LinkLost = 201,
--- a/testing/crowd_main.cpp
+++ b/testing/crowd_main.cpp
@@ -284,7 +284,7 @@
         std::ofstream settings(m_folder + "/gateway.yaml");
         settings << "host: entry\nzone: z\nlisten:\n  callers: \"127.0.0.1:" << m_callers.port << "\"\n  readiness: \"127.0.0.1:" << m_readiness.port
                  << "\"\n  metrics: \"127.0.0.1:" << m_metrics.port << "\"\nstore: \"127.0.0.1:" << m_store.listen().port
-                 << "\"\nmax_open_files: " << m_crowd.maxOpenFiles << "\n";
+                 << "\"\nmemory_mb: " << kMachineMemory / kMegabyte << "\nmax_open_files: " << m_crowd.maxOpenFiles << "\n";
         settings.close();
         std::ofstream(m_folder + "/ready") << "ready\n";
     }
--- a/testing/gatewaysettings_test.cpp
+++ b/testing/gatewaysettings_test.cpp
@@ -79,6 +79,7 @@
                                                        {"platform.addr", "10.200.1.7:8223"},
                                                        {"limits.link_mbps", "1000.0"},
                                                        {"limits.max_fds", "4100"},
+                                                       {"limits.memory_mb", "160"},
                                                        {"bounds.revoke_ms", "5000"},
                                                        {"bounds.config_ms", "3000"},
                                                        {"bounds.drain_ms", "3000"},
@@ -105,6 +106,17 @@
     EXPECT_DOUBLE_EQ(settings.retrySlack, 124);
     EXPECT_DOUBLE_EQ(settings.linkMbps, 1000);
     EXPECT_EQ(settings.maxCallerConnections, 2050U);
+    EXPECT_EQ(settings.requestMemory.smallRequests + settings.requestMemory.largeRequests + settings.requestMemory.answers, 48U * (1U << 20) / 5 * 5);
+}
+
+TEST(GatewaySettings, MemoryIsANumberOfMegabytes)
+{
+    FileErrors errors;
+    EXPECT_EQ(parse(kMinimalSettings, errors).maxCallerConnections, 2048U) << "without a figure it limits no connection";
+    EXPECT_LT(parse(kMinimalSettings + "memory_mb: 32\n", errors).maxCallerConnections, 2048U);
+    EXPECT_TRUE(errors.empty());
+    EXPECT_NE(firstError(kMinimalSettings + "memory_mb: 31\n"), "");
+    EXPECT_NE(firstError(kMinimalSettings + "memory_mb: much\n"), "");
 }
 
 TEST(GatewaySettings, LinkSpeedIsEmptyOrANumber)
