Trailer fields decide nothing

What callers saw: a chunked request with its API key in the trailer section alone got 200, and a trailer field of any name reached the runner as a header field.

Cause: Beast adds trailer fields to those of the head. RFC 9110, 6.5, tells which must not be in a trailer section, and 6.5.1 that a recipient may discard all.

Change: the head of a chunked request is kept as it was read, so that trailer fields are parsed, bounded and discarded. Whether the connection is kept is decided by the head too.

Evidence, a gateway as a process of its own: 200 before, 401 after.

--- a/fulmarlink/requestreader.cpp
+++ b/fulmarlink/requestreader.cpp
@@ -114,6 +114,10 @@
 
 asio::awaitable<boost::system::error_code> RequestReader::readBody()
 {
+    http::request_header<> head;
+    if (m_parser.chunked()) {
+        head = m_parser.get().base(); // the parser adds trailer fields to its own
+    }
     m_parser.eager(true);
     bool starved = m_buffer.size() == 0;
     while (!m_parser.is_done()) {
@@ -130,6 +134,9 @@
         }
         starved = true;
     }
+    if (m_parser.chunked()) {
+        m_parser.get().base() = std::move(head);
+    }
     co_return boost::system::error_code();
 }
 
--- a/testing/largerequests_test.cpp
+++ b/testing/largerequests_test.cpp
@@ -1,4 +1,84 @@
-//
+// Requests and answers at the limits of a gateway, over real sockets: what callers see there.
+
+#include <array>
+#include <gtest/gtest.h>
+
+#include "testing/harness/gatewayfixture.h"
+
+namespace fulmarlink::testing
+{
+
+class LargeRequests : public GatewayTest
+{
+public:
+    /** Sends @p text on a connection of its own and returns all that comes back until the gateway closes or the time is over. */
+    std::string exchange(const std::string &text, std::chrono::milliseconds limit = 5s)
+    {
+        auto answer = std::make_shared<std::string>();
+        auto done = std::make_shared<bool>(false);
+        asio::co_spawn(context, sendAndRead(text, answer, done), asio::detached);
+        runUntil(
+            [done] {
+                return *done;
+            },
+            limit);
+        return *answer;
+    }
+
+    static std::string head(const std::string &more)
+    {
+        return "POST /again/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a-1\r\nConnection: close\r\n" + more + "\r\n";
+    }
+
+    static std::string chunkedHead(const std::string &more = {})
+    {
+        return head("Transfer-Encoding: chunked\r\n" + more);
+    }
+
+    const std::string key = "Authorization: Token key\r\n";
+
+private:
+    asio::awaitable<void> sendAndRead(std::string text, std::shared_ptr<std::string> answer, std::shared_ptr<bool> done)
+    {
+        boost::system::error_code error;
+        asio::ip::tcp::socket socket(context);
+        co_await socket.async_connect({asio::ip::make_address("127.0.0.1"), settings.callers.port}, asio::redirect_error(asio::use_awaitable, error));
+        co_await asio::async_write(socket, asio::buffer(text), asio::redirect_error(asio::use_awaitable, error));
+        error = {};
+        std::array<char, 4096> bytes{};
+        while (!error) {
+            const std::size_t size = co_await socket.async_read_some(asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+            answer->append(bytes.data(), size);
+        }
+        *done = true;
+    }
+};
+
+// A trailer section may not decide on a request that is routed by its head (RFC 9110, 6.5.1).
+TEST_F(LargeRequests, KeyInATrailerIsNoKey)
+{
+    start();
+    const std::string answer = exchange(chunkedHead() + "4\r\ntext\r\n0\r\n" + key + "\r\n");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 401 ")) << answer;
+    EXPECT_EQ(ranRequests(), 0U);
+}
+
+TEST_F(LargeRequests, TrailerFieldsDoNotReplaceThoseOfTheHead)
+{
+    start();
+    const std::string trailer = "Attempt-Id: other\r\nDeadline-Ms: 1\r\nHost: other.example\r\nPrompt-Prefix: 0a:1,0b:1\r\nX-New: 1\r\n";
+    const std::string answer = exchange(chunkedHead(key) + "4;name=value\r\ntext\r\n0\r\n" + trailer + "\r\n");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+    ASSERT_EQ(ranRequests(), 1U);
+    const HttpRequest &received = lastRequest();
+    EXPECT_EQ(received["Attempt-Id"], "a-1");
+    EXPECT_EQ(received[http::field::host], "h.example");
+    EXPECT_EQ(received["Prompt-Prefix"], "");
+    EXPECT_EQ(received["X-New"], "");
+    EXPECT_NE(received["Deadline-Ms"], "1");
+    EXPECT_EQ(received.body(), "text");
+}
+
 TEST_F(LargeRequests, RequestBehindAChunkedOneIsServed)
 {
     start();
