Kernel buffers of callers' connections are part of the memory plan

What callers saw: nothing; what a client sends behind a request that waits stays in the kernel, 125 KB on each connection, 256 MB on the 2,050 of a host with 160 MB. Received and unread bytes count as memory of the process.

Cause: the default size of receive buffers suits a few connections.

Change: 6 KB for each direction (the kernel takes twice that), set on the listening socket, so that it applies in the backlog too; 32 KB while a large request is transferred, which its lease pays for. 32 KB for runners' connections, where an answer waits that its caller does not read.

Evidence: crowd-requests-behind-one-that-waits held 71 MB in the kernel before, 4 MB after.

--- a/fulmarlink/gatewayserver.cpp
+++ b/fulmarlink/gatewayserver.cpp
@@ -18,8 +18,10 @@
 #include "fulmarlink/log.h"
 #include "fulmarlink/memorylease.h"
 #include "fulmarlink/memoryleaseowner.h"
+#include "fulmarlink/memoryplan.h"
 #include "fulmarlink/requestreader.h"
 #include "fulmarlink/supervised.h"
+#include "fulmarlink/widesocketbuffers.h"
 
 namespace fulmarlink
 {
@@ -118,15 +120,22 @@
         stream.cancel();
     }
 
+    void leaseBecameLarge() override
+    {
+        wideBuffers.emplace(stream.socket(), *lease);
+    }
+
     void endRequest()
     {
         reader = nullptr;
+        wideBuffers.reset();
         lease.reset();
     }
 
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     std::optional<MemoryLease> lease; ///< of the current request
+    std::optional<WideSocketBuffers> wideBuffers; ///< while the current request is large
     RequestReader *reader = nullptr; ///< of the current request, until it is complete
     GatewayExchange *exchange = nullptr; ///< the request in progress; null: none
     bool watching = false;
@@ -162,6 +171,9 @@
     m_acceptor.open(endpoint.protocol());
     m_acceptor.set_option(tcp::acceptor::reuse_address(true));
     m_acceptor.bind(endpoint);
+    // Accepted sockets inherit the sizes, so that they apply to connections in the backlog too.
+    m_acceptor.set_option(tcp::acceptor::receive_buffer_size(static_cast<int>(MemoryPlan::kSocketBufferBytes)));
+    m_acceptor.set_option(tcp::acceptor::send_buffer_size(static_cast<int>(MemoryPlan::kSocketBufferBytes)));
     m_acceptor.listen(kBacklog);
     asio::co_spawn(m_executor, acceptLoop(), asio::detached);
 }
--- a/fulmarlink/targetconnections.cpp
+++ b/fulmarlink/targetconnections.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 
 #include "fulmarlink/httpconnection.h"
+#include "fulmarlink/memoryplan.h"
 
 namespace fulmarlink
 {
@@ -70,6 +71,8 @@
         co_return AcquiredConnection{nullptr, error == asio::error::connection_refused};
     }
     tuneSocket(connection->stream);
+    // An answer that its caller does not read waits here.
+    connection->stream.socket().set_option(asio::socket_base::receive_buffer_size(static_cast<int>(MemoryPlan::kLargeSocketBufferBytes)), error);
     co_return AcquiredConnection{std::move(connection), false};
 }
 
