Answers that callers do not read stay within the memory for answers

An answer is held until it is complete, up to 32 MB, and then until its caller has taken it.

Cause: nothing bounded the answers of all callers together.

Change: answers take memory from a share of their own, so that callers who don't read keep no request out. An answer without room is passed on as fast as its caller takes it, with its length or in chunks; it can't be had from another runner any more, and one that breaks off does not look complete. The bodies of refusals and of answers to other requests are discarded as they come, and a request's body is sent without a copy of it.

Ruled out: the share of small requests for answers too.

--- a/fulmarlink/gatewayexchange.cpp
+++ b/fulmarlink/gatewayexchange.cpp
@@ -54,6 +54,7 @@
     , m_keepAlive(keepAlive)
     , m_arrived(state.clock.now())
     , m_callerRequest(state.protocol.readRequest(m_request))
+    , m_answerLease(state.requestMemory)
 {
     m_info.host = m_callerRequest.host;
     m_info.path = m_callerRequest.path;
@@ -230,7 +231,7 @@
     state.end = end;
     state.repeatable = m_route.idempotent;
     state.answerBegun = m_answerBegun;
-    state.resumable = m_route.resumable;
+    state.resumable = m_route.resumable && m_route.streaming;
     state.ran = m_possibleRuns;
     state.sends = m_sends;
     state.maxAttempts = m_route.maxAttempts;
--- a/fulmarlink/gatewayexchange.h
+++ b/fulmarlink/gatewayexchange.h
@@ -17,10 +17,12 @@
 #include "fulmarlink/crashkeys.h"
 #include "fulmarlink/eventsplitter.h"
 #include "fulmarlink/gatewaystate.h"
+#include "fulmarlink/memorylease.h"
 #include "fulmarlink/openattempt.h"
 #include "fulmarlink/requestfingerprint.h"
 #include "fulmarlink/route.h"
 #include "fulmarlink/targetconnections.h"
+#include "fulmarlink/widesocketbuffers.h"
 
 namespace fulmarlink
 {
@@ -85,11 +87,15 @@
     boost::asio::awaitable<bool> write(TargetConnection &connection, const TargetInfo &target);
     boost::asio::awaitable<AttemptEnd> readAnswer(TargetConnection &connection, const TargetInfo &target);
     boost::asio::awaitable<boost::system::error_code> readHead(TargetConnection &connection, std::unique_ptr<AnswerParser> &parser);
+    boost::asio::awaitable<boost::system::error_code> readBodyPiece(TargetConnection &connection, AnswerParser &parser, std::string &piece);
     boost::asio::awaitable<boost::system::error_code> readBody(TargetConnection &connection, AnswerParser &parser, std::string &body);
+    boost::asio::awaitable<boost::system::error_code> discardBody(TargetConnection &connection, AnswerParser &parser);
     boost::asio::awaitable<AttemptEnd> relayPlain(TargetConnection &connection, AnswerParser &parser);
+    boost::asio::awaitable<AttemptEnd> relayUnbuffered(TargetConnection &connection, AnswerParser &parser, std::string piece);
     boost::asio::awaitable<AttemptEnd> relayStream(TargetConnection &connection, AnswerParser &parser);
-    boost::asio::awaitable<bool> writeStreamHead(const AnswerParser &parser);
-    boost::asio::awaitable<bool> writeEvents(std::string events);
+    boost::asio::awaitable<bool> writeAnswerHead(const AnswerParser &parser, std::optional<std::uint64_t> length);
+    boost::asio::awaitable<bool> writeChunk(std::string data);
+    boost::asio::awaitable<bool> writeToCaller(std::string bytes);
     boost::asio::awaitable<void> finish(NextStep step);
     boost::asio::awaitable<void> writeLocalReply(ResultCode code, Duration retryAfter);
     boost::asio::awaitable<void> writeResponse(HttpResponse &response);
@@ -150,6 +156,8 @@
     std::optional<TargetLoad> m_reportedLoad; ///< reported by the runner of the last attempt
     std::uint64_t m_eventsBefore = 0; ///< stream events received from earlier attempts
     unsigned m_status = 0; ///< HTTP status sent to the caller; 0 if none was sent
+    MemoryLease m_answerLease; ///< for what is held of answers
+    std::optional<WideSocketBuffers> m_wideBuffers; ///< while a large answer is passed on
     HttpResponse m_runnerFailure; ///< last failure response of a runner, passed on to the caller
     EventSplitter m_events;
     TimePoint m_lastEventTime{};
--- a/fulmarlink/gatewayrelay.cpp
+++ b/fulmarlink/gatewayrelay.cpp
@@ -18,6 +18,7 @@
 #include <charconv>
 
 #include "fulmarlink/crashwatch.h"
+#include "fulmarlink/leasedtext.h"
 #include "fulmarlink/limitwatch.h"
 #include "fulmarlink/mutation.h"
 #include "fulmarlink/signalwatch.h"
@@ -40,6 +41,7 @@
 constexpr std::size_t kMaxBufferedBodyBytes = 32U << 20;
 constexpr unsigned kMaxForeignAnswers = 3; ///< answers to other requests that are skipped before the connection is given up
 constexpr unsigned kServerError = 500;
+constexpr std::string_view kLastChunk = "0\r\n\r\n";
 constexpr unsigned kMaxPriority = 9;
 
 /** @p answerBegun: some of the answer has arrived, so a reset does not mean that the request was not read. */
@@ -64,7 +66,9 @@
 
 asio::awaitable<bool> GatewayExchange::write(TargetConnection &connection, const TargetInfo &target)
 {
-    HttpRequest request = m_request;
+    HttpRequest request;
+    request.base() = m_request.base();
+    request.body().swap(m_request.body()); // lent, not copied: bodies are large
     RunnerRequest runnerRequest;
     runnerRequest.targetId = target.id;
     runnerRequest.customer = m_customer;
@@ -75,6 +79,7 @@
     boost::system::error_code error;
     connection.stream.expires_after(timerMs(timeLeft()));
     m_current.requestBytes = co_await http::async_write(connection.stream, request, asio::redirect_error(asio::use_awaitable, error));
+    request.body().swap(m_request.body());
     if (error) {
         m_reason = "write: " + error.message();
         m_connectionEnd = connectionEnd(error, false);
@@ -111,24 +116,55 @@
     co_return error;
 }
 
-asio::awaitable<boost::system::error_code> GatewayExchange::readBody(TargetConnection &connection, AnswerParser &parser, std::string &body)
+/** Reads what arrives next of the body, at most kReadBufferBytes. */
+asio::awaitable<boost::system::error_code> GatewayExchange::readBodyPiece(TargetConnection &connection, AnswerParser &parser, std::string &piece)
 {
     std::array<char, kReadBufferBytes> bytes{};
     boost::system::error_code error;
-    while (!parser.is_done() && body.size() <= kMaxBufferedBodyBytes) {
-        auto &piece = parser.get().body();
-        piece.data = bytes.data();
-        piece.size = bytes.size();
-        co_await http::async_read(connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        if (error == http::error::need_buffer) {
-            error = {};
-        }
-        body.append(bytes.data(), bytes.size() - piece.size);
+    auto &space = parser.get().body();
+    space.data = bytes.data();
+    space.size = bytes.size();
+    co_await http::async_read_some(connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (error == http::error::need_buffer) {
+        error = {};
+    }
+    piece.assign(bytes.data(), bytes.size() - space.size);
+    co_return error;
+}
+
+/** Reads the body as far as there is memory for it; then the result is no_buffer_space, and @p body has what has been read. */
+asio::awaitable<boost::system::error_code> GatewayExchange::readBody(TargetConnection &connection, AnswerParser &parser, std::string &body)
+{
+    const boost::optional<std::uint64_t> length = parser.content_length();
+    const std::size_t maxSize = length ? static_cast<std::size_t>(*length) : kMaxBufferedBodyBytes;
+    std::string piece;
+    parser.eager(true);
+    while (!parser.is_done()) {
+        const boost::system::error_code error = co_await readBodyPiece(connection, parser, piece);
+        const bool room = body.size() + piece.size() <= kMaxBufferedBodyBytes && reserveLeased(body, body.size() + piece.size(), maxSize, m_answerLease);
+        body.append(piece);
         if (error) {
             co_return error;
         }
+        if (!room && !parser.is_done()) {
+            co_return asio::error::no_buffer_space;
+        }
+        if (!m_wideBuffers && body.size() > RequestMemory::kSmallBytes) {
+            m_wideBuffers.emplace(m_caller.socket(), m_answerLease);
+        }
+    }
+    co_return boost::system::error_code();
+}
+
+asio::awaitable<boost::system::error_code> GatewayExchange::discardBody(TargetConnection &connection, AnswerParser &parser)
+{
+    std::string piece;
+    boost::system::error_code error;
+    parser.eager(true);
+    while (!parser.is_done() && !error) {
+        error = co_await readBodyPiece(connection, parser, piece);
     }
-    co_return parser.is_done() ? boost::system::error_code() : http::error::body_limit;
+    co_return error;
 }
 
 /** Counts a refusal against the group if it names another rank or the slots are full, otherwise against its runner only. */
@@ -167,8 +203,7 @@
         const bool namesOther = answer.attemptId != m_callerRequest.attemptId;
         const bool foreignAnswer = namesOther && (!answer.attemptId.empty() || connection.reused);
         if (foreignAnswer && !mutated(Mutation::TrustForeignAnswer)) {
-            std::string discarded;
-            const boost::system::error_code discardError = co_await readBody(connection, *parser, discarded);
+            const boost::system::error_code discardError = co_await discardBody(connection, *parser);
             if (discardError) {
                 m_reason = "foreign answer: " + discardError.message();
                 co_return AttemptEnd::Broken;
@@ -189,8 +224,7 @@
         if (answer.notRun) {
             recordRunnerRefusal(target, answer);
             m_reason = "refused " + std::to_string(head.result_int()) + (answer.faultyTarget.empty() ? "" : " by " + answer.faultyTarget);
-            std::string discarded;
-            const boost::system::error_code discardError = co_await readBody(connection, *parser, discarded);
+            const boost::system::error_code discardError = co_await discardBody(connection, *parser);
             if (!discardError && parser->keep_alive() && m_current.connection) {
                 m_state.connections->release(m_current.connection);
             }
@@ -223,6 +257,10 @@
     std::string body;
     connection.stream.expires_after(timerMs(timeLeft()));
     const boost::system::error_code error = co_await readBody(connection, parser, body);
+    if (error == asio::error::no_buffer_space && !m_answerBegun && parser.get().result_int() < kServerError) {
+        const AttemptEnd end = co_await relayUnbuffered(connection, parser, std::move(body));
+        co_return end;
+    }
     if (error) {
         m_reason = "body: " + error.message();
         m_connectionEnd = connectionEnd(error, true);
@@ -249,6 +287,48 @@
     co_return AttemptEnd::Answered;
 }
 
+/**
+ * Passes on an answer for which there is no memory, as fast as its caller takes it. Nothing is read from the runner meanwhile but
+ * @p piece, so the answer can't come from another runner any more if this one breaks off.
+ */
+asio::awaitable<AttemptEnd> GatewayExchange::relayUnbuffered(TargetConnection &connection, AnswerParser &parser, std::string piece)
+{
+    const boost::optional<std::uint64_t> announced = parser.content_length();
+    const std::optional<std::uint64_t> length = announced ? std::optional(*announced) : std::nullopt;
+    boost::system::error_code error;
+    bool written = false;
+    if (!m_callerGone) {
+        written = co_await writeAnswerHead(parser, length);
+    }
+    m_state.counters.add(m_state.unbufferedAnswers);
+    while (written && !error) {
+        if (length) {
+            written = co_await writeToCaller(std::move(piece));
+        } else if (!piece.empty()) {
+            written = co_await writeChunk(std::move(piece));
+        }
+        if (parser.is_done() || !written) {
+            break;
+        }
+        connection.stream.expires_after(timerMs(timeLeft()));
+        error = co_await readBodyPiece(connection, parser, piece);
+    }
+    if (error || !written) {
+        m_reason = error ? "body: " + error.message() : "caller does not read";
+        m_connectionEnd = connectionEnd(error, true);
+        m_callerConnectionBroken = true;
+        co_return AttemptEnd::Broken;
+    }
+    if (!length) {
+        written = co_await writeToCaller(std::string(kLastChunk));
+        m_callerConnectionBroken = m_callerConnectionBroken || !written;
+    }
+    if (parser.keep_alive() && m_current.connection) {
+        m_state.connections->release(m_current.connection);
+    }
+    co_return AttemptEnd::Answered;
+}
+
 asio::awaitable<AttemptEnd> GatewayExchange::relayStream(TargetConnection &connection, AnswerParser &parser)
 {
     std::array<char, kReadBufferBytes> bytes{};
@@ -267,9 +347,9 @@
         const std::string completeEvents = m_events.takeCompleteEvents();
         if (!completeEvents.empty() && !m_callerGone) {
             recordEvents(m_state.clock.now());
-            bool written = co_await writeStreamHead(parser);
+            bool written = co_await writeAnswerHead(parser, std::nullopt);
             if (written) {
-                written = co_await writeEvents(completeEvents);
+                written = co_await writeChunk(completeEvents);
             }
             if (!written) {
                 m_reason = "caller does not read";
@@ -301,15 +381,14 @@
     if (parser.keep_alive() && m_current.connection) {
         m_state.connections->release(m_current.connection);
     }
-    static const std::string kLastChunk = "0\r\n\r\n";
     bool written = false;
     if (!m_callerGone) {
-        written = co_await writeStreamHead(parser);
+        written = co_await writeAnswerHead(parser, std::nullopt);
     }
     if (written) {
-        co_await asio::async_write(m_caller, asio::buffer(kLastChunk), asio::redirect_error(asio::use_awaitable, error));
+        written = co_await writeToCaller(std::string(kLastChunk));
+        m_callerConnectionBroken = m_callerConnectionBroken || !written;
     }
-    m_callerConnectionBroken = m_callerConnectionBroken || error;
     co_return AttemptEnd::Answered;
 }
 
@@ -354,14 +433,19 @@
     }
 }
 
-asio::awaitable<bool> GatewayExchange::writeStreamHead(const AnswerParser &parser)
+/** Writes the head of an answer whose body follows in pieces, once; without a @p length they are chunks. */
+asio::awaitable<bool> GatewayExchange::writeAnswerHead(const AnswerParser &parser, std::optional<std::uint64_t> length)
 {
     if (m_answerBegun) {
         co_return !m_callerConnectionBroken;
     }
     http::response<http::empty_body> response(parser.get().result(), 11);
     m_state.protocol.copyAnswerHead(parser.get(), response);
-    response.chunked(true);
+    if (length) {
+        response.content_length(*length);
+    } else {
+        response.chunked(true);
+    }
     response.keep_alive(!mustCloseConnection());
     http::response_serializer<http::empty_body> serializer(response);
     boost::system::error_code error;
@@ -373,17 +457,23 @@
     co_return !error;
 }
 
-asio::awaitable<bool> GatewayExchange::writeEvents(std::string events)
+asio::awaitable<bool> GatewayExchange::writeChunk(std::string data)
 {
     std::array<char, 16> size{};
-    const auto end = std::to_chars(size.data(), size.data() + size.size(), events.size(), 16).ptr;
+    const auto end = std::to_chars(size.data(), size.data() + size.size(), data.size(), 16).ptr;
     std::string chunk(size.data(), end);
     chunk += "\r\n";
-    chunk += events;
+    chunk += data;
     chunk += "\r\n";
+    const bool written = co_await writeToCaller(std::move(chunk));
+    co_return written;
+}
+
+asio::awaitable<bool> GatewayExchange::writeToCaller(std::string bytes)
+{
     boost::system::error_code error;
     m_caller.expires_after(kWriteTimeout);
-    co_await asio::async_write(m_caller, asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, error));
+    co_await asio::async_write(m_caller, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
     co_return !error;
 }
 
--- a/fulmarlink/gatewaystate.cpp
+++ b/fulmarlink/gatewaystate.cpp
@@ -53,6 +53,7 @@
     , limitedSends(counters.registerCounter("fulmarlink_limited_sends_total"))
     , segmentRefusals(counters.registerCounter("fulmarlink_segment_refusals_total"))
     , ignoredSegments(counters.registerCounter("fulmarlink_prompt_segments_ignored_total"))
+    , unbufferedAnswers(counters.registerCounter("fulmarlink_unbuffered_answers_total"))
     , backoffSends(counters.registerCounter("fulmarlink_backoff_sends_total"))
 {
     targets.setSignals(&signals);
--- a/fulmarlink/gatewaystate.h
+++ b/fulmarlink/gatewaystate.h
@@ -103,6 +103,7 @@
     Counters::Id limitedSends; ///< requests that were not sent on an open connection because the runner's limit was used up meanwhile
     Counters::Id segmentRefusals; ///< requests that did not reach a runner because a segment of their prompts is held back
     Counters::Id ignoredSegments; ///< segments of prompts that are not judged: their ids are malformed, or there are too many
+    Counters::Id unbufferedAnswers; ///< answers that were passed on piece by piece, since there was no memory for them
     Counters::Id backoffSends; ///< requests that were not sent on an open connection because the runner had asked to back off meanwhile
     unsigned entries = kAssumedEntries; ///< live hosts that share budgets and limits, including this one
     RecentMaximum recentEntries; ///< of `entries`, as read from the store
--- a/standins/platformfleet.cpp
+++ b/standins/platformfleet.cpp
@@ -491,6 +491,10 @@
         co_await write(stream, head(request, "200 OK", sealed + length) + body.substr(0, 3));
         open = false;
         break;
+    case RunnerAct::TruncatedHalfway:
+        co_await write(stream, head(request, "200 OK", sealed + length) + body.substr(0, body.size() / 2));
+        open = false;
+        break;
     case RunnerAct::StrayLast:
         open = co_await write(stream, head(request, "200 OK", sealed + length) + body + strayResponse());
         break;
--- a/standins/platformfleet.h
+++ b/standins/platformfleet.h
@@ -91,6 +91,7 @@
     Unsealed, ///< sends a response without the signature header
     WithoutLength, ///< sends a response without a length, delimited by the end of the connection
     Truncated, ///< closes the connection in the middle of the body
+    TruncatedHalfway, ///< the same, after half of the body
     StrayLast, ///< sends a second response after the correct one
     RefusalFirst, ///< sends a refusal that names no request before the correct response
     Garbage, ///< sends bytes that are not an HTTP response
--- a/testing/largerequests_test.cpp
+++ b/testing/largerequests_test.cpp
@@ -130,4 +130,45 @@
     EXPECT_EQ(counters.result(ResultCode::RequestMemoryFull), 1U);
 }
 
+TEST_F(LargeRequests, AnswerWithoutRoomIsPassedOnWhole)
+{
+    constexpr std::size_t kBytes = 3U << 20;
+    settings.requestMemory.answers = 100'000;
+    a.largeAnswerBytes = kBytes;
+    b.largeAnswerBytes = kBytes;
+    json::value configuration = json::parse(kConfiguration);
+    json::object route = configuration.at("routes").at(1).as_object();
+    route["name"] = "large";
+    route["path_prefix"] = "/large/";
+    configuration.at("routes").as_array().push_back(route);
+    store.set("config", "main", configuration);
+    start();
+    for (const RunnerAct act : {RunnerAct::Answer, RunnerAct::WithoutLength}) {
+        setActForBoth(act);
+        const Answer answer = ask(request("/large/x"));
+        EXPECT_EQ(answer.status, 200U);
+        EXPECT_TRUE(answer.whole);
+        EXPECT_TRUE(answer.body == std::string(kBytes, 'x')) << answer.body.size();
+        EXPECT_NE(answer["Server-Seal"], "");
+    }
+    EXPECT_NE(counters.text().find("fulmarlink_unbuffered_answers_total 2"), std::string::npos);
+}
+
+TEST_F(LargeRequests, AnswerWithoutRoomThatBreaksOffDoesNotLookComplete)
+{
+    constexpr std::size_t kBytes = 1U << 20;
+    settings.requestMemory.answers = 1000;
+    a.largeAnswerBytes = kBytes;
+    b.largeAnswerBytes = kBytes;
+    json::value configuration = json::parse(kConfiguration);
+    configuration.at("routes").at(1).as_object()["path_prefix"] = "/large/";
+    store.set("config", "main", configuration);
+    setActForBoth(RunnerAct::TruncatedHalfway);
+    start();
+    const Answer answer = ask(request("/large/x"));
+    EXPECT_EQ(answer.status, 200U);
+    EXPECT_FALSE(answer.whole);
+    EXPECT_EQ(ranRequests(), 1U) << "it can't go on at another runner";
+}
+
 } // namespace fulmarlink::testing
