Bound the connections and requests of the readiness and metrics ports

What callers saw: nothing, until the process ran out of memory or descriptors: each connection might hold a body of 2 MB, a head and a trailer section without end, for 60 s, and their number had no bound. When accepting failed, the server tried again without a pause.

Change: HttpServer reads with RequestReader; 16 connections and bodies of 1 KB suffice for probes. A further connection takes the place of the oldest, so that the platform's probe always gets in. A failed accept is logged and followed by a pause.

--- a/fulmarlink/gateway.cpp
+++ b/fulmarlink/gateway.cpp
@@ -41,6 +41,7 @@
 constexpr Duration kMinTargetsInterval = std::chrono::milliseconds(100); ///< between reads of the list that requests ask for
 constexpr Duration kHousekeeping = std::chrono::milliseconds(200);
 constexpr Duration kMinDrainTime = std::chrono::milliseconds(2600); ///< the platform probes readiness each second and removes a host after two failures
+constexpr HttpServerLimits kProbeLimits{.connections = 16, .bodyBytes = 1024}; ///< of probes and of readers of metrics, which send no bodies
 constexpr auto kShareNames = std::to_array<std::pair<MemoryLease::Share, std::string_view>>({
     {MemoryLease::Share::SmallRequests, "small-requests"},
     {MemoryLease::Share::LargeRequests, "large-requests"},
@@ -115,7 +116,7 @@
     const auto answerReadiness = [this](HttpRequest) -> asio::awaitable<HttpResponse> {
         co_return ready() ? textResponse(kHttpOk, "ready\n") : textResponse(kHttpUnavailable, "not ready\n");
     };
-    m_readiness = std::make_shared<HttpServer>(m_context.get_executor(), answerReadiness);
+    m_readiness = std::make_shared<HttpServer>(m_context.get_executor(), answerReadiness, kProbeLimits);
     m_readiness->listen(m_state.settings.readiness.address, m_state.settings.readiness.port);
     if (m_state.settings.metrics.port == 0) {
         return;
@@ -123,7 +124,7 @@
     const auto answerMetrics = [this](HttpRequest request) -> asio::awaitable<HttpResponse> {
         co_return request.target() == "/metrics" ? textResponse(kHttpOk, m_counters.text()) : textResponse(kHttpNotFound, "see /metrics\n");
     };
-    m_metrics = std::make_shared<HttpServer>(m_context.get_executor(), answerMetrics);
+    m_metrics = std::make_shared<HttpServer>(m_context.get_executor(), answerMetrics, kProbeLimits);
     m_metrics->listen(m_state.settings.metrics.address, m_state.settings.metrics.port);
 }
 
--- a/fulmarlink/httpserver.cpp
+++ b/fulmarlink/httpserver.cpp
@@ -2,15 +2,21 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "fulmarlink/log.h"
+#include "fulmarlink/memorylease.h"
+#include "fulmarlink/memoryleaseowner.h"
+#include "fulmarlink/requestmemory.h"
+#include "fulmarlink/requestreader.h"
+
 namespace fulmarlink
 {
 
@@ -23,13 +29,33 @@
 {
 
 constexpr std::chrono::seconds kIdleTimeout{60};
+constexpr std::chrono::milliseconds kAcceptRetryDelay{20}; ///< delay before the next accept after a failure, as when file descriptors have run out
 constexpr int kHttp11 = 11;
 
 } // namespace
 
-HttpServer::HttpServer(asio::any_io_executor executor, Handler handler)
+/** Its memory is accounted for by itself, since connections of one server may be served by several threads. */
+struct HttpServer::Connection : MemoryLeaseOwner {
+    Connection(tcp::socket socket, const HttpServerLimits &limits)
+        : stream(std::move(socket))
+        , memory({.smallRequests = RequestMemory::kSmallBytes, .largeRequests = limits.bodyBytes + kMaxRequestOverhead, .answers = 0})
+    {
+    }
+
+    void evict() override
+    {
+        // Not called: the only request never gives way to itself.
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    RequestMemory memory;
+};
+
+HttpServer::HttpServer(asio::any_io_executor executor, Handler handler, HttpServerLimits limits)
     : m_executor(std::move(executor))
     , m_handler(std::move(handler))
+    , m_limits(limits)
     , m_acceptor(asio::make_strand(m_executor))
 {
 }
@@ -61,34 +87,57 @@
             co_return;
         }
         if (error) {
+            logWarning("accept-failed", {{"error", error.message()}});
+            asio::steady_timer timer(m_acceptor.get_executor(), kAcceptRetryDelay);
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
             continue;
         }
+        makeRoom();
         const auto executor = socket.get_executor();
+        auto connection = std::make_shared<Connection>(std::move(socket), m_limits);
+        m_connections.push_back(connection);
         asio::co_spawn(
             executor,
-            [self = shared_from_this(), moved = std::move(socket)]() mutable -> asio::awaitable<void> {
+            [self = shared_from_this(), moved = std::move(connection)]() mutable -> asio::awaitable<void> {
                 co_await self->serve(std::move(moved));
             },
             asio::detached);
     }
 }
 
-asio::awaitable<void> HttpServer::serve(tcp::socket socket)
+/** Closes the oldest connection if there is no room for another one. */
+void HttpServer::makeRoom()
 {
-    beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    std::erase_if(m_connections, [](const std::weak_ptr<Connection> &connection) {
+        return connection.expired();
+    });
+    if (m_connections.size() < m_limits.connections) {
+        return;
+    }
+    if (const auto oldest = m_connections.front().lock()) {
+        asio::post(oldest->stream.get_executor(), [oldest] {
+            oldest->stream.close();
+        });
+    }
+    m_connections.pop_front();
+}
+
+asio::awaitable<void> HttpServer::serve(std::shared_ptr<Connection> connection)
+{
+    beast::tcp_stream &stream = connection->stream;
     for (;;) {
-        boost::system::error_code error;
-        http::request_parser<http::string_body> parser;
-        parser.body_limit(kMaxBodyBytes);
+        MemoryLease lease(connection->memory, *connection);
+        RequestReader reader(stream, connection->buffer, lease, {kMaxHeadBytes, m_limits.bodyBytes});
         stream.expires_after(kIdleTimeout);
-        co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        boost::system::error_code error = co_await reader.readHead();
+        if (!error) {
+            error = co_await reader.readBody();
+        }
         if (error) {
             co_return;
         }
-        HttpRequest request = parser.release();
-        const bool keepAlive = request.keep_alive();
-        HttpResponse response = co_await m_handler(std::move(request));
+        const bool keepAlive = reader.keepAlive();
+        HttpResponse response = co_await m_handler(reader.takeRequest());
         response.keep_alive(keepAlive);
         response.prepare_payload();
         stream.expires_after(kIdleTimeout);
