Bound what is held of answers of the store and of runners before it is parsed

Cause, by reading: the read buffers of these connections had no bound either, so an incomplete trailer section or first line of a chunk grew without end.

Change: 64 KB; an answer beyond it ends its connection, as one that can't be read. Suspected, not shown: fields that arrive one by one still pass Beast's header limit on these connections.

--- a/fulmarlink/engineclient.cpp
+++ b/fulmarlink/engineclient.cpp
@@ -192,7 +192,7 @@
 
     beast::tcp_stream m_stream;
     asio::steady_timer m_wake;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{kMaxUnparsedAnswerBytes};
     HttpTarget m_target;
     std::vector<unsigned> m_refusals;
     DispatchId m_id;
--- a/fulmarlink/httpclient.cpp
+++ b/fulmarlink/httpclient.cpp
@@ -38,7 +38,7 @@
     request.prepare_payload();
     co_await http::async_write(stream, request, token);
     if (!error) {
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(kMaxUnparsedAnswerBytes);
         http::response_parser<http::string_body> parser;
         parser.body_limit(kMaxHttpAnswerBytes);
         co_await http::async_read(stream, buffer, parser, token);
--- a/fulmarlink/httpclient.h
+++ b/fulmarlink/httpclient.h
@@ -28,6 +28,9 @@
 /** The largest answer that httpCall() takes, in bytes. */
 inline constexpr std::uint64_t kMaxHttpAnswerBytes = 8U << 20;
 
+/** The most that is held of an answer before it can be parsed, in bytes: its head, the first line of a chunk, a trailer section. */
+inline constexpr std::size_t kMaxUnparsedAnswerBytes = 64U << 10;
+
 /** One call over a connection of its own, ended by @p timeout. */
 boost::asio::awaitable<HttpResult> httpCall(HttpTarget target, HttpRequest request, std::chrono::milliseconds timeout);
 
--- a/fulmarlink/httpconnection.cpp
+++ b/fulmarlink/httpconnection.cpp
@@ -31,6 +31,7 @@
 struct HttpConnection::Parts {
     explicit Parts(const asio::any_io_executor &executor)
         : stream(executor)
+        , buffer(kMaxUnparsedAnswerBytes)
     {
     }
 
--- a/fulmarlink/targetconnections.h
+++ b/fulmarlink/targetconnections.h
@@ -12,6 +12,7 @@
 #include "fulmarlink/clock.h"
 #include "fulmarlink/connectionend.h"
 #include "fulmarlink/counters.h"
+#include "fulmarlink/httpclient.h"
 #include "fulmarlink/targettable.h"
 
 namespace fulmarlink
@@ -21,6 +22,7 @@
 struct TargetConnection {
     explicit TargetConnection(const boost::asio::any_io_executor &executor)
         : stream(executor)
+        , buffer(kMaxUnparsedAnswerBytes)
     {
     }
 
