A rejected caller that still sends can read its answer

What callers saw: 413 was sent and the connection closed with unread bytes, which resets it; a client that still sends gets a broken pipe, and may lose the answer.

Change: what a rejected caller sends is read and discarded for up to 2 s. Such a connection is the first to make room for a new one.

--- a/fulmarlink/gatewayserver.cpp
+++ b/fulmarlink/gatewayserver.cpp
@@ -1,5 +1,6 @@
 #include "fulmarlink/gatewayserver.h"
 
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -37,6 +38,7 @@
 constexpr std::chrono::milliseconds kAcceptRetryDelay{20}; ///< delay before the next accept after a failure, as when file descriptors have run out
 constexpr std::chrono::milliseconds kBodyTimeout{10'000}; ///< enough for a body of the maximum size over a slow link
 constexpr std::chrono::milliseconds kRejectionTimeout{2000}; ///< for an answer to a request that was not read, and again for what its caller still sends
+constexpr std::size_t kDiscardBytes = 16U << 10; ///< of one read whose content is discarded
 constexpr std::chrono::milliseconds kMinMemoryRetryAfter{200}; ///< senders that make no progress give way at once, so there is room soon
 constexpr std::chrono::milliseconds kMemoryRetrySpread{400};
 
@@ -140,6 +142,7 @@
     GatewayExchange *exchange = nullptr; ///< the request in progress; null: none
     bool watching = false;
     bool reading = false; ///< at least one byte of the current request has arrived
+    bool rejected = false; ///< the last answer has been sent; the rest of what the caller sends is discarded
     TimePoint lastUsed{}; ///< when it was opened or its last request ended
 
     /** True if no request is in progress and no byte of one has arrived, read or unread. */
@@ -242,6 +245,9 @@
 {
     Connection *result = nullptr;
     for (Connection *connection : m_connections) {
+        if (connection->rejected) {
+            return connection;
+        }
         const bool waits = connection->exchange == nullptr && !connection->reading;
         if (waits && (result == nullptr || connection->lastUsed < result->lastUsed)) {
             result = connection;
@@ -262,6 +268,9 @@
         while (again) {
             again = co_await serveRequest(connection);
         }
+        if (connection->rejected) {
+            co_await discardInput(*connection);
+        }
     } catch (...) {
         // An exception in the handling of a request must close only its own connection: the same request may be sent again, to this host or another.
         failure = std::current_exception();
@@ -390,6 +399,19 @@
     connection.stream.expires_after(kRejectionTimeout);
     co_await http::async_write(connection.stream, response, asio::redirect_error(asio::use_awaitable, ignored));
     connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    connection.rejected = true;
+}
+
+/** Reads what a rejected caller still sends: to close a connection with unread bytes resets it, and the caller could lose the answer. */
+asio::awaitable<void> GatewayServer::discardInput(Connection &connection)
+{
+    static std::array<char, kDiscardBytes> discarded; // shared by all connections, since nothing reads it
+    boost::system::error_code error;
+    connection.buffer = {};
+    connection.stream.expires_after(kRejectionTimeout);
+    while (!error) {
+        co_await connection.stream.async_read_some(asio::buffer(discarded), asio::redirect_error(asio::use_awaitable, error));
+    }
 }
 
 asio::awaitable<bool> GatewayServer::serveRequest(const std::shared_ptr<Connection> &connection)
--- a/fulmarlink/gatewayserver.h
+++ b/fulmarlink/gatewayserver.h
@@ -45,6 +45,7 @@
     boost::asio::awaitable<bool> awaitRequest(Connection &connection);
     boost::asio::awaitable<bool> readRequest(Connection &connection, RequestReader &reader, std::chrono::milliseconds headerTimeout);
     boost::asio::awaitable<void> rejectUnreadable(Connection &connection, RequestReader &reader, boost::system::error_code error);
+    boost::asio::awaitable<void> discardInput(Connection &connection);
     static void watchForDisconnect(const std::shared_ptr<Connection> &connection);
 
     boost::asio::any_io_executor m_executor;
--- a/testing/largerequests_test.cpp
+++ b/testing/largerequests_test.cpp
@@ -116,6 +116,18 @@
     EXPECT_TRUE(answer.starts_with("HTTP/1.1 431 ")) << answer;
 }
 
+// The rest of the body is still on its way when the answer is sent; to close the connection at once would reset it.
+TEST_F(LargeRequests, CallerThatSendsMoreThanTheLimitReadsItsAnswer)
+{
+    start();
+    constexpr std::size_t kFarOver = 8U << 20;
+    const std::string announced = exchange(head(key + "Content-Length: " + std::to_string(kFarOver) + "\r\n") + std::string(kFarOver, 'x'));
+    EXPECT_TRUE(announced.starts_with("HTTP/1.1 413 ")) << announced;
+    const std::string sent = exchange(chunkedHead(key) + "800000\r\n" + std::string(kFarOver, 'x') + "\r\n0\r\n\r\n");
+    EXPECT_TRUE(sent.starts_with("HTTP/1.1 413 ")) << sent;
+    EXPECT_EQ(ranRequests(), 0U);
+}
+
 TEST_F(LargeRequests, RequestWithoutRoomIsRefusedAsNotRunWithATimeToComeBack)
 {
     settings.requestMemory.smallRequests = 1000;
