Leases may outlive the server that gave them

Found by reading: coroutines are destroyed with the I/O context, after the gateway and its state; a lease that one of them holds would then return its memory to what is gone, at the end of the process with connections open. Leases share the ownership of RequestMemory.

--- a/fulmarlink/gateway.cpp
+++ b/fulmarlink/gateway.cpp
@@ -200,7 +200,7 @@
     const bool addressesKept = settings.callers.port == m_state.settings.callers.port && settings.callers.address == m_state.settings.callers.address;
     logChange("reloaded", {{"addresses_kept", addressesKept ? "true" : "false: they change at the next start"}});
     m_state.settings = std::move(settings);
-    m_state.requestMemory.setLimits(m_state.settings.requestMemory);
+    m_state.requestMemory->setLimits(m_state.settings.requestMemory);
     m_state.updateBudgets();
 }
 
@@ -274,7 +274,7 @@
 void Gateway::checkBodyLimit() const
 {
     const std::size_t bodyLimit = m_state.config.active()->configuration.limits.maxBodyBytes;
-    const std::size_t memory = m_state.requestMemory.limit(MemoryLease::Share::LargeRequests);
+    const std::size_t memory = m_state.requestMemory->limit(MemoryLease::Share::LargeRequests);
     if (bodyLimit > memory) {
         logWarning("body-limit-exceeds-memory", {{"max_body_bytes", std::to_string(bodyLimit)}, {"memory", std::to_string(memory)}});
     }
@@ -411,10 +411,10 @@
             m_signalWatch.removeUnlistedRunners();
         }
         m_counters.set(m_requestsInProgress, m_state.unansweredRequests);
-        m_counters.set(m_evictedRequests, m_state.requestMemory.evictions());
+        m_counters.set(m_evictedRequests, m_state.requestMemory->evictions());
         for (const auto &[share, name] : kShareNames) {
-            m_counters.set(m_requestMemory[share], m_state.requestMemory.used(share));
-            m_counters.set(m_requestMemoryLimits[share], m_state.requestMemory.limit(share));
+            m_counters.set(m_requestMemory[share], m_state.requestMemory->used(share));
+            m_counters.set(m_requestMemoryLimits[share], m_state.requestMemory->limit(share));
         }
         m_counters.set(m_proofAge, static_cast<std::uint64_t>(m_state.config.age(m_clock.now()).count() / 1000));
         if (m_state.drainStartedAt && m_clock.now() - *m_state.drainStartedAt >= kMinDrainTime) {
--- a/fulmarlink/gatewayserver.cpp
+++ b/fulmarlink/gatewayserver.cpp
@@ -377,8 +377,8 @@
                 {"received", std::to_string(reader.received())},
                 {"held", std::to_string(connection.lease->bytes())},
                 {"evicted", connection.lease->evicted() ? "true" : "false"},
-                {"small", std::to_string(m_state.requestMemory.used(MemoryLease::Share::SmallRequests))},
-                {"large", std::to_string(m_state.requestMemory.used(MemoryLease::Share::LargeRequests))},
+                {"small", std::to_string(m_state.requestMemory->used(MemoryLease::Share::SmallRequests))},
+                {"large", std::to_string(m_state.requestMemory->used(MemoryLease::Share::LargeRequests))},
                 {"caller_closed", closed ? "true" : "false"}});
     if (closed) {
         co_return;
--- a/fulmarlink/gatewaystate.cpp
+++ b/fulmarlink/gatewaystate.cpp
@@ -42,7 +42,7 @@
     , counters(theCounters)
     , protocol(theProtocol)
     , targets(tableOptions(settings))
-    , requestMemory(settings.requestMemory)
+    , requestMemory(std::make_shared<RequestMemory>(settings.requestMemory))
     , crashes(settings.crashes)
     , startedAt(theClock.now())
     , random(std::random_device()())
--- a/fulmarlink/gatewaystate.h
+++ b/fulmarlink/gatewaystate.h
@@ -81,7 +81,7 @@
     const CallerProtocol &protocol;
     ConfigState config;
     TargetTable targets;
-    RequestMemory requestMemory; ///< held by requests of callers
+    const std::shared_ptr<RequestMemory> requestMemory; ///< held by requests and answers of callers
     TargetConnections *connections = nullptr;
     RunnerAttempts attempts;
     CrashHistory crashes; ///< crashes attributed to requests, merged from all hosts
--- a/fulmarlink/httpserver.cpp
+++ b/fulmarlink/httpserver.cpp
@@ -38,7 +38,8 @@
 struct HttpServer::Connection : MemoryLeaseOwner {
     Connection(tcp::socket socket, const HttpServerLimits &limits)
         : stream(std::move(socket))
-        , memory({.smallRequests = RequestMemory::kSmallBytes, .largeRequests = limits.bodyBytes + kMaxRequestOverhead, .answers = 0})
+        , memory(std::make_shared<RequestMemory>(
+              RequestMemoryLimits{.smallRequests = RequestMemory::kSmallBytes, .largeRequests = limits.bodyBytes + kMaxRequestOverhead, .answers = 0}))
     {
     }
 
@@ -49,7 +50,7 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
-    RequestMemory memory;
+    const std::shared_ptr<RequestMemory> memory;
 };
 
 HttpServer::HttpServer(asio::any_io_executor executor, Handler handler, HttpServerLimits limits)
--- a/fulmarlink/memorylease.h
+++ b/fulmarlink/memorylease.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <list>
+#include <memory>
 
 namespace fulmarlink
 {
@@ -24,10 +25,10 @@
         Answers,
     };
 
-    /** The lease of a request. @p memory and @p owner must outlive it. */
-    MemoryLease(RequestMemory &memory, MemoryLeaseOwner &owner);
-    /** The lease of an answer, which is never evicted. @p memory must outlive it. */
-    explicit MemoryLease(RequestMemory &memory);
+    /** The lease of a request. @p owner must outlive it. */
+    MemoryLease(std::shared_ptr<RequestMemory> memory, MemoryLeaseOwner &owner);
+    /** The lease of an answer, which is never evicted. */
+    explicit MemoryLease(std::shared_ptr<RequestMemory> memory);
     ~MemoryLease();
     MemoryLease(const MemoryLease &) = delete;
     MemoryLease &operator=(const MemoryLease &) = delete;
@@ -48,7 +49,7 @@
 private:
     friend class RequestMemory;
 
-    RequestMemory &m_memory;
+    const std::shared_ptr<RequestMemory> m_memory; ///< shared, since coroutines that hold leases may outlive the server
     MemoryLeaseOwner *const m_owner; ///< null for an answer
     std::size_t m_bytes = 0;
     std::size_t m_progressSteps = 0;
--- a/fulmarlink/requestmemory.cpp
+++ b/fulmarlink/requestmemory.cpp
@@ -4,6 +4,7 @@
 #include "fulmarlink/requestmemory.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "fulmarlink/memoryleaseowner.h"
 
@@ -116,15 +117,15 @@
     lease.m_owner->evict();
 }
 
-MemoryLease::MemoryLease(RequestMemory &memory, MemoryLeaseOwner &owner)
-    : m_memory(memory)
+MemoryLease::MemoryLease(std::shared_ptr<RequestMemory> memory, MemoryLeaseOwner &owner)
+    : m_memory(std::move(memory))
     , m_owner(&owner)
 {
-    m_memory.add(*this);
+    m_memory->add(*this);
 }
 
-MemoryLease::MemoryLease(RequestMemory &memory)
-    : m_memory(memory)
+MemoryLease::MemoryLease(std::shared_ptr<RequestMemory> memory)
+    : m_memory(std::move(memory))
     , m_owner(nullptr)
     , m_share(Share::Answers)
     , m_complete(true)
@@ -133,13 +134,13 @@
 
 MemoryLease::~MemoryLease()
 {
-    m_memory.remove(*this);
+    m_memory->remove(*this);
 }
 
 bool MemoryLease::grow(std::size_t bytes)
 {
     const Share before = m_share;
-    const bool granted = m_memory.grow(*this, bytes);
+    const bool granted = m_memory->grow(*this, bytes);
     if (m_share != before) {
         m_owner->leaseBecameLarge();
     }
@@ -149,7 +150,7 @@
 void MemoryLease::shrink(std::size_t bytes)
 {
     const std::size_t returned = std::min(bytes, m_bytes);
-    m_memory.pool(m_share).used -= returned;
+    m_memory->pool(m_share).used -= returned;
     m_bytes -= returned;
 }
 
@@ -158,14 +159,14 @@
     const std::size_t steps = receivedBytes / RequestMemory::kProgressBytes;
     if (steps > m_progressSteps && !m_evicted) {
         m_progressSteps = steps;
-        m_memory.moveToBack(*this, m_share);
+        m_memory->moveToBack(*this, m_share);
     }
 }
 
 void MemoryLease::markComplete()
 {
     if (!m_complete && !m_evicted) {
-        m_memory.pool(m_share).incomplete.erase(m_position);
+        m_memory->pool(m_share).incomplete.erase(m_position);
         m_complete = true;
     }
 }
--- a/testing/requestmemory_test.cpp
+++ b/testing/requestmemory_test.cpp
@@ -36,8 +36,8 @@
 
 /** A request that is being received. */
 struct Request {
-    explicit Request(RequestMemory &memory)
-        : lease(memory, owner)
+    explicit Request(std::shared_ptr<RequestMemory> memory)
+        : lease(std::move(memory), owner)
     {
     }
 
@@ -64,7 +64,7 @@
         return request;
     }
 
-    RequestMemory memory{kLimits};
+    std::shared_ptr<RequestMemory> memory = std::make_shared<RequestMemory>(kLimits);
     std::deque<Request> requests;
     bool granted = false;
 };
@@ -79,11 +79,11 @@
         EXPECT_TRUE(small.receive(1000));
         EXPECT_TRUE(large.receive(kMegabyte));
         large.lease.shrink(kKilobyte);
-        EXPECT_EQ(memory.used(Share::SmallRequests), 1000U);
-        EXPECT_EQ(memory.used(Share::LargeRequests), kMegabyte - kKilobyte);
+        EXPECT_EQ(memory->used(Share::SmallRequests), 1000U);
+        EXPECT_EQ(memory->used(Share::LargeRequests), kMegabyte - kKilobyte);
     }
-    EXPECT_EQ(memory.used(Share::SmallRequests), 0U);
-    EXPECT_EQ(memory.used(Share::LargeRequests), 0U);
+    EXPECT_EQ(memory->used(Share::SmallRequests), 0U);
+    EXPECT_EQ(memory->used(Share::LargeRequests), 0U);
 }
 
 TEST_F(RequestMemoryTest, GrowingRequestMovesToTheLargeShare)
@@ -93,8 +93,8 @@
     EXPECT_CALL(request.owner, leaseBecameLarge());
     EXPECT_TRUE(request.receive(1));
     EXPECT_EQ(request.lease.share(), Share::LargeRequests);
-    EXPECT_EQ(memory.used(Share::SmallRequests), 0U);
-    EXPECT_EQ(memory.used(Share::LargeRequests), RequestMemory::kSmallBytes + 1);
+    EXPECT_EQ(memory->used(Share::SmallRequests), 0U);
+    EXPECT_EQ(memory->used(Share::LargeRequests), RequestMemory::kSmallBytes + 1);
 }
 
 TEST_F(RequestMemoryTest, SenderWithoutProgressGivesWayFirst)
@@ -108,7 +108,7 @@
     EXPECT_TRUE(granted);
     EXPECT_TRUE(stopped.lease.evicted());
     EXPECT_FALSE(stopped.receive(1)) << "an evicted request gets nothing more";
-    EXPECT_EQ(memory.evictions(), 1U);
+    EXPECT_EQ(memory->evictions(), 1U);
 }
 
 // A caller that sends a byte now and then makes no progress, so it can't hold its memory that way.
@@ -130,7 +130,7 @@
     Request &stopped = begin(kMegabyte);
     begin(3 * kMegabyte - RequestMemory::kProgressBytes);
     EXPECT_FALSE(stopped.lease.grow(kMegabyte));
-    EXPECT_EQ(memory.evictions(), 0U);
+    EXPECT_EQ(memory->evictions(), 0U);
     EXPECT_EQ(stopped.lease.bytes(), kMegabyte);
 }
 
@@ -169,7 +169,7 @@
         Request ordinary(memory);
         EXPECT_TRUE(ordinary.receive(4000)) << i;
         EXPECT_TRUE(ordinary.receive(4000)) << i;
-        EXPECT_LE(memory.used(Share::SmallRequests), kLimits.smallRequests);
+        EXPECT_LE(memory->used(Share::SmallRequests), kLimits.smallRequests);
     }
 }
 
@@ -182,7 +182,7 @@
     for (std::size_t sent = kLargeBytes; sent < kMegabyte; sent += RequestMemory::kProgressBytes) {
         for (Request &request : requests) {
             request.receive(RequestMemory::kProgressBytes);
-            EXPECT_LE(memory.used(Share::LargeRequests), kLimits.largeRequests);
+            EXPECT_LE(memory->used(Share::LargeRequests), kLimits.largeRequests);
         }
     }
     std::size_t finished = 0;
@@ -192,19 +192,28 @@
     EXPECT_GE(finished, 3U);
 }
 
+// A coroutine that holds a lease is destroyed with the I/O context, after the server and its state.
+TEST_F(RequestMemoryTest, LeaseMayOutliveItsServer)
+{
+    Request request(memory);
+    EXPECT_TRUE(request.receive(1000));
+    memory.reset();
+    EXPECT_TRUE(request.receive(1000));
+}
+
 TEST_F(RequestMemoryTest, LargerThanTheShareIsRefusedWithoutEvictions)
 {
     begin(kMegabyte);
     begin(5 * kMegabyte);
     EXPECT_FALSE(granted);
-    EXPECT_EQ(memory.evictions(), 0U);
+    EXPECT_EQ(memory->evictions(), 0U);
 }
 
 TEST_F(RequestMemoryTest, LowerLimitsApplyToWhatIsTakenFromThenOn)
 {
     Request &stopped = begin(kMegabyte);
     EXPECT_CALL(stopped.owner, evict());
-    memory.setLimits({.smallRequests = kMegabyte, .largeRequests = kMegabyte, .answers = 0});
+    memory->setLimits({.smallRequests = kMegabyte, .largeRequests = kMegabyte, .answers = 0});
     begin(kLargeBytes);
     EXPECT_TRUE(granted);
     MemoryLease answer(memory);
@@ -245,8 +254,7 @@
 TEST(MemoryPlan, OneRequestOfTheLargestConfiguredSizeFindsRoomOnTheSmallestMachine)
 {
     const MemoryPlan plan = planMemory(160 * kMegabyte, 4100);
-    RequestMemory memory(plan.requests);
-    Request request(memory);
+    Request request(std::make_shared<RequestMemory>(plan.requests));
     EXPECT_TRUE(request.receive(4 * kMegabyte + MemoryPlan::socketBytes(MemoryPlan::kLargeSocketBufferBytes) + kMegabyte));
 }
 
