An ordinary head that arrives in parts needs no room for large requests

What callers would see: beside a crowd of large requests, 503 for a small request whose head of some 2 KB comes in two packets.

Cause, found by reading: an incomplete head was taken to consist of fields of four bytes, 50 times its length, so that its lease became large, and stayed so.

Change: the fields that have been parsed are counted, as for a complete head.

Evidence: the new test got 503 before and 200 after.

--- a/fulmarlink/requestreader.cpp
+++ b/fulmarlink/requestreader.cpp
@@ -24,7 +24,6 @@
 constexpr std::size_t kMinReadBytes = 512;
 constexpr std::size_t kFieldOverhead = 96; ///< of one header field: Beast's list and tree nodes, and the allocator's header
 constexpr std::size_t kHeadCopies = 3; ///< the parser's, the one sent to a runner, and the decoded values
-constexpr std::size_t kFieldBytesAtLeast = 4; ///< "a:", CR and LF
 
 } // namespace
 
@@ -62,14 +61,12 @@
     co_return error;
 }
 
-/** Accounts for a head of @p headBytes. As long as it is incomplete, its fields are taken to be as short as they can be. */
+/** Accounts for a head of @p headBytes, and for the read buffer, which grows only as long as the head or a chunked body is incomplete. */
 bool RequestReader::leaseHead(std::size_t headBytes)
 {
-    std::size_t fields = headBytes / kFieldBytesAtLeast;
-    if (m_parser.is_header_done()) {
-        fields = static_cast<std::size_t>(std::distance(m_parser.get().begin(), m_parser.get().end()));
-    }
-    const std::size_t buffered = std::max(m_buffer.capacity(), m_parser.is_header_done() && !m_parser.chunked() ? 0 : m_buffer.max_size());
+    const auto fields = static_cast<std::size_t>(std::distance(m_parser.get().begin(), m_parser.get().end()));
+    const bool bufferGrows = !m_parser.is_header_done() || m_parser.chunked();
+    const std::size_t buffered = bufferGrows ? m_buffer.max_size() : m_buffer.capacity();
     const std::size_t needed = kHeadCopies * headBytes + 2 * kFieldOverhead * fields + buffered;
     if (needed < m_leasedHead) {
         m_lease.shrink(m_leasedHead - needed);
--- a/testing/largerequests_test.cpp
+++ b/testing/largerequests_test.cpp
@@ -142,6 +142,34 @@
     EXPECT_EQ(counters.result(ResultCode::RequestMemoryFull), 1U);
 }
 
+// An incomplete head was taken to consist of the shortest fields, so that an ordinary one of 2 KB in two parts counted as large.
+TEST_F(LargeRequests, SmallRequestWhoseHeadArrivesInPartsNeedsNoRoomForLargeOnes)
+{
+    settings.requestMemory.largeRequests = 0;
+    json::value configuration = json::parse(kConfiguration);
+    configuration.at("limits").as_object()["max_header_bytes"] = 16'384;
+    store.set("config", "main", configuration);
+    start();
+    const std::string text = head(key + "X-Long: " + std::string(2000, 'x') + "\r\nContent-Length: 4\r\n") + "text";
+    asio::ip::tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), settings.callers.port});
+    asio::write(socket, asio::buffer(text, text.size() / 2));
+    runUntil(
+        [] {
+            return false;
+        },
+        50ms);
+    asio::write(socket, asio::buffer(text) + text.size() / 2);
+    runUntil(
+        [&socket] {
+            return socket.available() > 0;
+        },
+        5s);
+    std::array<char, 4096> bytes{};
+    const std::size_t size = socket.read_some(asio::buffer(bytes));
+    EXPECT_TRUE(std::string_view(bytes.data(), size).starts_with("HTTP/1.1 200 ")) << std::string_view(bytes.data(), size);
+}
+
 TEST_F(LargeRequests, AnswerWithoutRoomIsPassedOnWhole)
 {
     constexpr std::size_t kBytes = 3U << 20;
