--- a/fulmarlink/gatewayserver.cpp
+++ b/fulmarlink/gatewayserver.cpp
@@ -34,12 +34,11 @@
 namespace
 {
 
-constexpr int kBacklog = 1024;
 constexpr std::chrono::milliseconds kAcceptRetryDelay{20}; ///< delay before the next accept after a failure, as when file descriptors have run out
 constexpr std::chrono::milliseconds kBodyTimeout{10'000}; ///< enough for a body of the maximum size over a slow link
 constexpr std::chrono::milliseconds kRejectionTimeout{2000}; ///< for an answer to a request that was not read, and again for what its caller still sends
 constexpr std::size_t kDiscardBytes = 16U << 10; ///< of one read whose content is discarded
-constexpr std::chrono::milliseconds kMinMemoryRetryAfter{200}; ///< senders that make no progress give way at once, so there is room soon
+constexpr std::chrono::milliseconds kMinMemoryRetryAfter{200}; ///< senders without progress are evicted at once, so there is room soon
 constexpr std::chrono::milliseconds kMemoryRetrySpread{400};
 
 ResultCode unreadableRequestCode(const boost::system::error_code &error)
@@ -177,7 +176,7 @@
     // Accepted sockets inherit the sizes, so that they apply to connections in the backlog too.
     m_acceptor.set_option(tcp::acceptor::receive_buffer_size(static_cast<int>(MemoryPlan::kSocketBufferBytes)));
     m_acceptor.set_option(tcp::acceptor::send_buffer_size(static_cast<int>(MemoryPlan::kSocketBufferBytes)));
-    m_acceptor.listen(kBacklog);
+    m_acceptor.listen(MemoryPlan::kBacklog);
     asio::co_spawn(m_executor, acceptLoop(), asio::detached);
 }
 
--- a/fulmarlink/httpserver.cpp
+++ b/fulmarlink/httpserver.cpp
@@ -45,7 +45,7 @@
 
     void evict() override
     {
-        // Not called: the only request never gives way to itself.
+        // Not called: a request is not evicted for its own growth, and there is no other.
     }
 
     beast::tcp_stream stream;
--- a/fulmarlink/requestmemory.h
+++ b/fulmarlink/requestmemory.h
@@ -12,9 +12,9 @@
 
 /** Limits of RequestMemory, in bytes. */
 struct RequestMemoryLimits {
-    std::size_t smallRequests = 15U << 20; ///< of all requests up to RequestMemory::kSmallBytes together
-    std::size_t largeRequests = 30U << 20; ///< of all larger requests together
-    std::size_t answers = 30U << 20; ///< of all answers together
+    std::size_t smallRequests = 12U << 20; ///< of all requests up to RequestMemory::kSmallBytes together
+    std::size_t largeRequests = 25U << 20; ///< of all larger requests together
+    std::size_t answers = 25U << 20; ///< of all answers together
 };
 
 /**
@@ -22,9 +22,9 @@
  *
  * They take memory through a MemoryLease as their bytes arrive. Small requests, large requests and answers draw on separate
  * shares, so that large requests, or callers that don't read their answers, can't keep small requests out. If a requests' share
- * is used up, incomplete requests are evicted, first the one that has gone without progress for longest: a sender that stops
- * before the end of its request gives way to those that go on. If there is none but the requester itself, it gets no room.
- * Nothing ever waits for room; an answer without room is passed on as it arrives.
+ * is used up, incomplete requests are evicted in the order of their last progress, so that senders that stop before the end of
+ * their request go before those that continue. A requester that would itself be next gets no room. Nothing ever waits for room;
+ * an answer without room is passed on as it arrives.
  *
  * Not thread-safe.
  */
