A caller that reads slowly gets its whole answer

What callers would see: an answer of 1 MB read at 64 KB each 0.35 s was cut after 4.6 s.

Cause: a whole answer had to be written within 4 s. Before, the kernel took most of it at once; with small buffers the write lasts as long as the caller reads.

Change: large bodies are written in pieces of 64 KB, each within 4 s, as streams and unbuffered answers are.

--- a/fulmarlink/gatewayanswer.cpp
+++ b/fulmarlink/gatewayanswer.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "fulmarlink/admission.h"
@@ -20,6 +21,7 @@
 namespace
 {
 
+constexpr std::size_t kMaxWriteBytes = 64U << 10; ///< written to a caller within one kWriteTimeout
 constexpr Duration kRefusedRetryAfter = std::chrono::milliseconds(400);
 constexpr Duration kMaxRecordingTime = std::chrono::milliseconds(100); ///< a write takes a few ms; callers don't wait for a slow store
 
@@ -98,8 +100,19 @@
     m_answerBegun = true;
     m_status = response.result_int();
     boost::system::error_code error;
+    auto token = asio::redirect_error(asio::use_awaitable, error);
     m_caller.expires_after(kWriteTimeout);
-    co_await http::async_write(m_caller, response, asio::redirect_error(asio::use_awaitable, error));
+    if (response.body().size() <= kMaxWriteBytes) {
+        co_await http::async_write(m_caller, response, token);
+    } else {
+        http::response_serializer<http::string_body> serializer(response);
+        co_await http::async_write_header(m_caller, serializer, token);
+        asio::const_buffer rest = asio::buffer(response.body());
+        while (!error && rest.size() > 0) {
+            m_caller.expires_after(kWriteTimeout); // for each piece: a slow caller is no reason to give up, one that does not read is
+            rest += co_await asio::async_write(m_caller, asio::buffer(rest, kMaxWriteBytes), token);
+        }
+    }
     m_callerConnectionBroken = m_callerConnectionBroken || error;
 }
 
--- a/fulmarlink/gatewayexchange.h
+++ b/fulmarlink/gatewayexchange.h
@@ -40,7 +40,7 @@
 {
 public:
     static constexpr Duration kMinTimeToSend = std::chrono::milliseconds(20); ///< an answer can't arrive within less
-    static constexpr std::chrono::milliseconds kWriteTimeout{4000}; ///< limit for a write to a caller that does not read
+    static constexpr std::chrono::milliseconds kWriteTimeout{4000}; ///< limit for one write to a caller that does not read
 
     GatewayExchange(GatewayState &state, boost::beast::tcp_stream &caller, HttpRequest request, bool keepAlive);
     ~GatewayExchange();
