A request that stops half-way holds its connection no longer than there is room

What callers would see: with as many clients as there are connections, each stopping within its request, new connections were closed unread until the requests timed out, and again once the clients came back.

Cause: only idle connections made room for new ones.

Change: if none is idle or rejected, the connection whose incomplete request has made no progress for longest is closed, after a second at least; so ordinary requests that have just begun are not hit, and a new one is closed unread as before. A counter and a line with the client's address.

Evidence: the new test got no answer and two connections closed unread before; the ordinary request is answered now.

--- a/fulmarlink/gatewayserver.cpp
+++ b/fulmarlink/gatewayserver.cpp
@@ -37,6 +37,7 @@
 constexpr std::chrono::milliseconds kAcceptRetryDelay{20}; ///< delay before the next accept after a failure, as when file descriptors have run out
 constexpr std::chrono::milliseconds kBodyTimeout{10'000}; ///< enough for a body of the maximum size over a slow link
 constexpr std::chrono::milliseconds kRejectionTimeout{2000}; ///< for an answer to a request that was not read, and again for what its caller still sends
+constexpr Duration kMinStall = std::chrono::milliseconds(1000); ///< a lost packet of a request is retransmitted within this time
 constexpr std::size_t kDiscardBytes = 16U << 10; ///< of one read whose content is discarded
 constexpr std::chrono::milliseconds kMinMemoryRetryAfter{200}; ///< senders without progress are evicted at once, so there is room soon
 constexpr std::chrono::milliseconds kMemoryRetrySpread{400};
@@ -126,6 +127,16 @@
         wideBuffers.emplace(stream.socket(), *lease);
     }
 
+    /** Notes whether the request has made progress since the last call. */
+    void updateProgress(TimePoint now)
+    {
+        const std::size_t steps = reader->received() / RequestMemory::kProgressBytes;
+        if (steps > progressSteps) {
+            progressSteps = steps;
+            progressAt = now;
+        }
+    }
+
     void endRequest()
     {
         reader = nullptr;
@@ -142,6 +153,8 @@
     bool watching = false;
     bool reading = false; ///< at least one byte of the current request has arrived
     bool rejected = false; ///< the last answer has been sent; the rest of what the caller sends is discarded
+    TimePoint progressAt{}; ///< when the current request began, or updateProgress() saw that more of it had arrived
+    std::size_t progressSteps = 0; ///< RequestMemory::kProgressBytes of the current request that updateProgress() has seen
     TimePoint lastUsed{}; ///< when it was opened or its last request ended
 
     /** True if no request is in progress and no byte of one has arrived, read or unread. */
@@ -160,6 +173,7 @@
     , m_acceptFailures(state.counters.registerCounter("fulmarlink_accept_failures_total"))
     , m_open(state.counters.registerCounter("fulmarlink_caller_connections_open"))
     , m_closedUnread(state.counters.registerCounter("fulmarlink_caller_connections_unread_total"))
+    , m_closedStalled(state.counters.registerCounter("fulmarlink_caller_connections_stalled_total"))
     , m_closedIdle(state.counters.registerCounter("fulmarlink_caller_connections_evicted_total"))
     , m_exceptions(state.counters.registerCounter("fulmarlink_exceptions_total"))
 {
@@ -225,34 +239,51 @@
 bool GatewayServer::makeRoom()
 {
     const bool hasRoom = m_connections.size() < m_state.settings.maxCallerConnections;
-    Connection *const idle = hasRoom ? nullptr : leastNeeded();
-    const bool full = !hasRoom && idle == nullptr;
+    Connection *const unneeded = hasRoom ? nullptr : leastNeeded();
+    const bool full = !hasRoom && unneeded == nullptr;
     if (full != m_full) {
         m_full = full;
         logWarning("caller-connections", {{"full", full ? "true" : "false"}, {"open", std::to_string(m_connections.size())}});
     }
-    if (idle != nullptr) {
-        m_state.counters.add(m_closedIdle);
-        idle->stream.close();
-        m_connections.erase(idle);
+    if (unneeded != nullptr) {
+        const bool stalled = unneeded->reader != nullptr;
+        m_state.counters.add(stalled ? m_closedStalled : m_closedIdle);
+        if (stalled) {
+            logRequest("connection-closed-stalled",
+                       {{"caller", addressOf(unneeded->stream.socket())}, {"received", std::to_string(unneeded->reader->received())}});
+        }
+        unneeded->stream.close();
+        m_connections.erase(unneeded);
     }
     return !full;
 }
 
-/** A connection whose last answer has been sent, or else the one that has been idle for longest; null if there is neither. */
+/**
+ * A connection whose last answer has been sent, or else the one that has been idle for longest, or else the one whose incomplete
+ * request has made no progress for longest, and for kMinStall at least; null if there is none.
+ */
 GatewayServer::Connection *GatewayServer::leastNeeded() const
 {
-    Connection *result = nullptr;
+    const TimePoint now = m_state.clock.now();
+    Connection *idle = nullptr;
+    Connection *stalled = nullptr;
     for (Connection *connection : m_connections) {
         if (connection->rejected) {
             return connection;
         }
         const bool waits = connection->exchange == nullptr && !connection->reading;
-        if (waits && (result == nullptr || connection->lastUsed < result->lastUsed)) {
-            result = connection;
+        if (waits && (idle == nullptr || connection->lastUsed < idle->lastUsed)) {
+            idle = connection;
+        }
+        if (connection->reader == nullptr) {
+            continue;
+        }
+        connection->updateProgress(now);
+        if (now - connection->progressAt >= kMinStall && (stalled == nullptr || connection->progressAt < stalled->progressAt)) {
+            stalled = connection;
         }
     }
-    return result != nullptr && result->idle() ? result : nullptr;
+    return idle != nullptr && idle->idle() ? idle : stalled;
 }
 
 asio::awaitable<void> GatewayServer::serve(std::shared_ptr<Connection> connection)
@@ -427,6 +458,8 @@
     {
         RequestReader reader(connection->stream, connection->buffer, *connection->lease, {limits.maxHeaderBytes, limits.maxBodyBytes});
         connection->reader = &reader;
+        connection->progressAt = m_state.clock.now();
+        connection->progressSteps = 0;
         const bool read = co_await readRequest(*connection, reader, limits.headerTimeout);
         connection->reader = nullptr;
         if (!read) {
--- a/fulmarlink/gatewayserver.h
+++ b/fulmarlink/gatewayserver.h
@@ -18,9 +18,9 @@
  * HTTP/1.1 server for callers. Reads complete requests within the configured limits, passes each
  * to a GatewayExchange, and notifies the exchange when its caller disconnects.
  *
- * At most GatewaySettings::maxCallerConnections connections are open. A further one takes the place of one that has been
- * answered for good or is idle; if there is none, it is closed without reading from it, so that its caller may try another host
- * at once. All requests together hold no more than GatewayState::requestMemory allows; one without room is refused as not run.
+ * At most GatewaySettings::maxCallerConnections connections are open. A further one takes the place of one that is not
+ * needed (see leastNeeded()); if there is none, it is closed without reading from it, so that its caller may try another host at once. All requests together
+ * hold no more than GatewayState::requestMemory allows; one without room is refused as not run.
  */
 class GatewayServer
 {
@@ -56,6 +56,7 @@
     Counters::Id m_acceptFailures;
     Counters::Id m_open;
     Counters::Id m_closedUnread; ///< new connections for which there was no room
+    Counters::Id m_closedStalled; ///< connections that were closed to make room, within a request that had made no progress for long
     Counters::Id m_closedIdle; ///< idle connections that were closed to make room
     bool m_full = false; ///< the last new connection found no room
     Counters::Id m_exceptions;
--- a/testing/callerconnections_test.cpp
+++ b/testing/callerconnections_test.cpp
@@ -119,6 +119,22 @@
     EXPECT_LE(counter("fulmarlink_caller_connections_open"), kMost);
 }
 
+// Clients that stop within a request and stay would otherwise hold all connections until each of their requests is given up.
+TEST_F(CallerConnections, RequestWithoutProgressMakesRoomForANewConnection)
+{
+    json::value configuration = json::parse(kConfiguration);
+    configuration.at("limits").as_object()["header_timeout_ms"] = 60'000;
+    store.set("config", "main", configuration);
+    start();
+    connect(kMost, "POST /again/x HTTP/1.1\r\nHost: h.exa");
+    EXPECT_EQ(counter("fulmarlink_caller_connections_open"), kMost);
+    EXPECT_EQ(ask(request("/once/x")).status, 0U) << "they have only just begun";
+    runFor(1200ms);
+    EXPECT_EQ(ask(request("/once/y")).status, 200U);
+    EXPECT_EQ(counter("fulmarlink_caller_connections_stalled_total"), 1U);
+    EXPECT_EQ(counter("fulmarlink_caller_connections_unread_total"), 1U);
+}
+
 // The platform's measure: at least three quarters as often as in the seconds before.
 TEST_F(CallerConnections, RequestsThatAreReadAreServedAtManyTimesTheUsualRateOfNewConnections)
 {
