Cut the values of log lines on requests

A caller chooses the id of its request, up to the limit of a head: 300 lines a second of 64 KB once escaped. Values of lines on requests are cut after 2 KB; those of changes are whole.

--- a/fulmarlink/log.cpp
+++ b/fulmarlink/log.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cmath>
 #include <iomanip>
+#include <limits>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
@@ -130,6 +131,8 @@
     return std::to_string(now / 1000) + '.' + millis;
 }
 
+constexpr std::size_t kMaxValueBytes = 2048; ///< of a line on a request; callers choose some of the values
+
 /** Appends @p value so that it can't end the quotes around it or begin another line: much of what is logged is others' text. */
 void appendEscaped(std::string &line, std::string_view value)
 {
@@ -146,14 +149,15 @@
     }
 }
 
-std::string format(std::string_view event, std::initializer_list<LogField> fields)
+std::string format(std::string_view event, std::initializer_list<LogField> fields, std::size_t maxValueBytes)
 {
     std::string line = "event=" + std::string(event);
     for (const auto &[key, value] : fields) {
         line += ' ';
         line += key;
         line += "=\"";
-        appendEscaped(line, value);
+        appendEscaped(line, std::string_view(value).substr(0, maxValueBytes));
+        line += value.size() > maxValueBytes ? "..." : "";
         line += '"';
     }
     return line;
@@ -175,15 +179,18 @@
 namespace
 {
 
-void write(const log4cxx::LevelPtr &level, std::string_view event, std::initializer_list<LogField> fields)
+void write(const log4cxx::LevelPtr &level,
+           std::string_view event,
+           std::initializer_list<LogField> fields,
+           std::size_t maxValueBytes = std::numeric_limits<std::size_t>::max())
 {
     if (!logger()->isEnabledFor(level)) {
         return;
     }
     if (standardOutput()) {
-        lineBuffer().add(timeText() + ' ' + level->toString() + ' ' + format(event, fields) + '\n');
+        lineBuffer().add(timeText() + ' ' + level->toString() + ' ' + format(event, fields, maxValueBytes) + '\n');
     } else {
-        LOG4CXX_LOG(logger(), level, format(event, fields));
+        LOG4CXX_LOG(logger(), level, format(event, fields, maxValueBytes));
     }
 }
 
@@ -204,7 +211,7 @@
     if (missed > 0) {
         logChange("request-lines-left-out", {{"count", std::to_string(missed)}});
     }
-    logChange(event, fields);
+    write(log4cxx::Level::getInfo(), event, fields, kMaxValueBytes);
 }
 
 void flushLog()
--- a/fulmarlink/log.h
+++ b/fulmarlink/log.h
@@ -43,7 +43,7 @@
 
 /**
  * As logChange(), for a decision on one request. At most kMaxRequestLines a second are
- * written; what goes beyond is counted in the next line.
+ * written; what goes beyond is counted in the next line. Values are cut after 2 KB, and then end with "...".
  */
 void logRequest(std::string_view event, std::initializer_list<LogField> fields);
 
