Gateway: smaller files, no behaviour changed

CallerConnection, ReadTimeout, RequestMemoryGauges, the bodies of plain answers and connectionEnd() have files of their own; writes to the caller are beside the other answers. joinWithCommas() was joined() once more.

--- a/fulmarlink/connectionend.h
+++ b/fulmarlink/connectionend.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <boost/system/error_code.hpp>
 #include <cstdint>
 
 namespace fulmarlink
@@ -13,4 +14,7 @@
     Failed, ///< it broke in another way
 };
 
+/** From the error of a read or write. @p answerBegun: some of the answer has arrived, so a reset does not mean that the request was not read. */
+ConnectionEnd connectionEnd(const boost::system::error_code &error, bool answerBegun);
+
 } // namespace fulmarlink
--- a/fulmarlink/gateway.cpp
+++ b/fulmarlink/gateway.cpp
@@ -1,7 +1,6 @@
 #include "fulmarlink/gateway.h"
 
 #include <algorithm>
-#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -42,11 +41,6 @@
 constexpr Duration kHousekeeping = std::chrono::milliseconds(200);
 constexpr Duration kMinDrainTime = std::chrono::milliseconds(2600); ///< the platform probes readiness each second and removes a host after two failures
 constexpr HttpServerLimits kProbeLimits{.connections = 16, .bodyBytes = 1024}; ///< of probes and of readers of metrics, which send no bodies
-constexpr auto kShareNames = std::to_array<std::pair<MemoryLease::Share, std::string_view>>({
-    {MemoryLease::Share::SmallRequests, "small-requests"},
-    {MemoryLease::Share::LargeRequests, "large-requests"},
-    {MemoryLease::Share::Answers, "answers"},
-});
 constexpr unsigned kHttpOk = 200;
 constexpr unsigned kHttpUnavailable = 503;
 constexpr unsigned kHttpNotFound = 404;
@@ -56,15 +50,6 @@
     return Duration(static_cast<Duration::rep>(static_cast<double>(Duration(bound).count()) / kReadsPerBound));
 }
 
-std::string joinWithCommas(const std::vector<std::string> &values)
-{
-    std::string result;
-    for (const std::string &value : values) {
-        result += (result.empty() ? "" : ",") + value;
-    }
-    return result;
-}
-
 } // namespace
 
 Gateway::Gateway(asio::io_context &context, GatewaySettings settings, Counters &counters, GatewayAdapters adapters)
@@ -82,14 +67,9 @@
     , m_proofAge(m_counters.registerCounter("fulmarlink_configuration_proof_age_ms"))
     , m_requestsInProgress(m_counters.registerCounter("fulmarlink_requests_in_progress"))
     , m_staleConfigurations(m_counters.registerCounter("fulmarlink_stale_configurations_total"))
-    , m_evictedRequests(m_counters.registerCounter("fulmarlink_requests_evicted_total"))
+    , m_requestMemoryGauges(m_counters)
     , m_nextTargetsRead(context)
 {
-    for (const auto &[share, name] : kShareNames) {
-        const std::string label = "{share=\"" + std::string(name) + "\"}";
-        m_requestMemory[share] = m_counters.registerCounter("fulmarlink_request_memory_bytes" + label);
-        m_requestMemoryLimits[share] = m_counters.registerCounter("fulmarlink_request_memory_limit_bytes" + label);
-    }
     m_state.refreshTargets = [this] {
         if (m_clock.now() - m_targetsReadBegan >= kMinTargetsInterval) {
             m_nextTargetsRead.cancel();
@@ -253,7 +233,7 @@
                            {"routes", std::to_string(accepted.routes.size())},
                            {"customers", std::to_string(accepted.customers.size())},
                            {"read_ms", std::to_string((m_clock.now() - read.began).count() / 1000)}});
-                checkBodyLimit();
+                m_state.checkBodyLimit();
             }
             if (m_state.config.active()) {
                 watchGroups();
@@ -270,16 +250,6 @@
     }
 }
 
-/** The memory of the machine goes before the configuration: a body that does not fit is refused, whatever its limit allows. */
-void Gateway::checkBodyLimit() const
-{
-    const std::size_t bodyLimit = m_state.config.active()->configuration.limits.maxBodyBytes;
-    const std::size_t memory = m_state.requestMemory->limit(MemoryLease::Share::LargeRequests);
-    if (bodyLimit > memory) {
-        logWarning("body-limit-exceeds-memory", {{"max_body_bytes", std::to_string(bodyLimit)}, {"memory", std::to_string(memory)}});
-    }
-}
-
 void Gateway::updateConnectionLimits()
 {
     const auto active = m_state.config.active();
@@ -340,11 +310,11 @@
         return;
     }
     logChange("targets-changed",
-              {{"added", joinWithCommas(changes.added)},
-               {"restarted", joinWithCommas(changes.restarted)},
-               {"leaving", joinWithCommas(changes.leaving)},
-               {"malformed", joinWithCommas(changes.malformed)},
-               {"gone", joinWithCommas(changes.gone)},
+              {{"added", joined(changes.added)},
+               {"restarted", joined(changes.restarted)},
+               {"leaving", joined(changes.leaving)},
+               {"malformed", joined(changes.malformed)},
+               {"gone", joined(changes.gone)},
                {"listed", std::to_string(m_listedTargets.size())}});
 }
 
@@ -411,11 +381,7 @@
             m_signalWatch.removeUnlistedRunners();
         }
         m_counters.set(m_requestsInProgress, m_state.unansweredRequests);
-        m_counters.set(m_evictedRequests, m_state.requestMemory->evictions());
-        for (const auto &[share, name] : kShareNames) {
-            m_counters.set(m_requestMemory[share], m_state.requestMemory->used(share));
-            m_counters.set(m_requestMemoryLimits[share], m_state.requestMemory->limit(share));
-        }
+        m_requestMemoryGauges.update(*m_state.requestMemory);
         m_counters.set(m_proofAge, static_cast<std::uint64_t>(m_state.config.age(m_clock.now()).count() / 1000));
         if (m_state.drainStartedAt && m_clock.now() - *m_state.drainStartedAt >= kMinDrainTime) {
             m_server.closeIdle();
--- a/fulmarlink/gateway.h
+++ b/fulmarlink/gateway.h
@@ -16,6 +16,7 @@
 #include "fulmarlink/hostclock.h"
 #include "fulmarlink/limitwatch.h"
 #include "fulmarlink/livehosts.h"
+#include "fulmarlink/requestmemorygauges.h"
 #include "fulmarlink/signalwatch.h"
 #include "fulmarlink/targetconnections.h"
 
@@ -72,7 +73,6 @@
     boost::asio::awaitable<void> sleep(Duration duration);
     /** Divides each service's connection limit among the live hosts. */
     void updateConnectionLimits();
-    void checkBodyLimit() const;
     /** Starts a GroupWatch for each pool with experts that has none yet. */
     void watchGroups();
     void updateStoreStatus(bool reachable, const std::string &call, const std::string &error);
@@ -100,10 +100,8 @@
     Counters::Id m_configVersion;
     Counters::Id m_proofAge;
     Counters::Id m_requestsInProgress;
-    Counters::Id m_evictedRequests;
-    std::map<MemoryLease::Share, Counters::Id> m_requestMemory;
-    std::map<MemoryLease::Share, Counters::Id> m_requestMemoryLimits;
     Counters::Id m_staleConfigurations;
+    RequestMemoryGauges m_requestMemoryGauges;
     LiveHosts m_liveHosts;
     TimePoint m_renewEntryAt{}; ///< time of this host's next liveness write
     TimePoint m_unlistedRemovedAt{}; ///< when state of unlisted runners was last removed
--- a/fulmarlink/gatewayanswer.cpp
+++ b/fulmarlink/gatewayanswer.cpp
@@ -1,11 +1,15 @@
-// The end of an exchange: locally generated replies and the request log line.
+// What an exchange writes to its caller: locally generated replies, whole answers, heads and pieces. And the request log line.
 //
 // Each co_await is a statement of its own; the reason is in gatewayexchange.cpp.
 
+#include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
+#include <charconv>
 
 #include "fulmarlink/admission.h"
 #include "fulmarlink/backoffrecorder.h"
@@ -116,6 +120,50 @@
     m_callerConnectionBroken = m_callerConnectionBroken || error;
 }
 
+/** Writes the head of an answer whose body follows in pieces, once; without a @p length they are chunks. */
+asio::awaitable<bool> GatewayExchange::writeAnswerHead(const AnswerParser &parser, std::optional<std::uint64_t> length)
+{
+    if (m_answerBegun) {
+        co_return !m_callerConnectionBroken;
+    }
+    http::response<http::empty_body> response(parser.get().result(), 11);
+    m_state.protocol.copyAnswerHead(parser.get(), response);
+    if (length) {
+        response.content_length(*length);
+    } else {
+        response.chunked(true);
+    }
+    response.keep_alive(!mustCloseConnection());
+    http::response_serializer<http::empty_body> serializer(response);
+    boost::system::error_code error;
+    m_answerBegun = true;
+    m_status = response.result_int();
+    m_caller.expires_after(kWriteTimeout);
+    co_await http::async_write_header(m_caller, serializer, asio::redirect_error(asio::use_awaitable, error));
+    m_callerConnectionBroken = m_callerConnectionBroken || error;
+    co_return !error;
+}
+
+asio::awaitable<bool> GatewayExchange::writeChunk(std::string data)
+{
+    std::array<char, 16> size{};
+    const auto end = std::to_chars(size.data(), size.data() + size.size(), data.size(), 16).ptr;
+    std::string chunk(size.data(), end);
+    chunk += "\r\n";
+    chunk += data;
+    chunk += "\r\n";
+    const bool written = co_await writeToCaller(std::move(chunk));
+    co_return written;
+}
+
+asio::awaitable<bool> GatewayExchange::writeToCaller(std::string bytes)
+{
+    boost::system::error_code error;
+    m_caller.expires_after(kWriteTimeout);
+    co_await asio::async_write(m_caller, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+    co_return !error;
+}
+
 void GatewayExchange::log() const
 {
     const TimePoint now = m_state.clock.now();
--- a/fulmarlink/gatewayexchange.h
+++ b/fulmarlink/gatewayexchange.h
@@ -53,6 +53,8 @@
     void callerGone();
 
 private:
+    static constexpr std::size_t kReadBufferBytes = 8192; ///< of one read of an answer
+    static constexpr std::string_view kLastChunk = "0\r\n\r\n";
     using AnswerParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     bool admit();
--- a/fulmarlink/gatewayrelay.cpp
+++ b/fulmarlink/gatewayrelay.cpp
@@ -18,7 +18,6 @@
 #include <charconv>
 
 #include "fulmarlink/crashwatch.h"
-#include "fulmarlink/leasedtext.h"
 #include "fulmarlink/limitwatch.h"
 #include "fulmarlink/mutation.h"
 #include "fulmarlink/signalwatch.h"
@@ -37,26 +36,10 @@
 constexpr Duration kMinStreamHeadTimeout = std::chrono::milliseconds(1000); ///< half the time after which callers abandon a silent stream
 constexpr Duration kRecentAnswer = std::chrono::milliseconds(300); ///< a pool that answered within this time is not stalled
 constexpr Duration kStallMargin = std::chrono::milliseconds(150);
-constexpr std::size_t kReadBufferBytes = 8192;
-constexpr std::size_t kMaxBufferedBodyBytes = 32U << 20;
 constexpr unsigned kMaxForeignAnswers = 3; ///< answers to other requests that are skipped before the connection is given up
 constexpr unsigned kServerError = 500;
-constexpr std::string_view kLastChunk = "0\r\n\r\n";
 constexpr unsigned kMaxPriority = 9;
 
-/** @p answerBegun: some of the answer has arrived, so a reset does not mean that the request was not read. */
-ConnectionEnd connectionEnd(const boost::system::error_code &error, bool answerBegun)
-{
-    if (!error || error == boost::beast::error::timeout) {
-        return ConnectionEnd::Open;
-    }
-    if (error == http::error::end_of_stream || error == http::error::partial_message || error == asio::error::eof) {
-        return ConnectionEnd::InOrder;
-    }
-    const bool reset = error == asio::error::connection_reset || error == asio::error::broken_pipe;
-    return reset && !answerBegun ? ConnectionEnd::Reset : ConnectionEnd::Failed;
-}
-
 bool isEventStream(const http::fields &head)
 {
     return head[http::field::content_type].starts_with("text/event-stream");
@@ -116,57 +99,6 @@
     co_return error;
 }
 
-/** Reads what arrives next of the body, at most kReadBufferBytes. */
-asio::awaitable<boost::system::error_code> GatewayExchange::readBodyPiece(TargetConnection &connection, AnswerParser &parser, std::string &piece)
-{
-    std::array<char, kReadBufferBytes> bytes{};
-    boost::system::error_code error;
-    auto &space = parser.get().body();
-    space.data = bytes.data();
-    space.size = bytes.size();
-    co_await http::async_read_some(connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-    if (error == http::error::need_buffer) {
-        error = {};
-    }
-    piece.assign(bytes.data(), bytes.size() - space.size);
-    co_return error;
-}
-
-/** Reads the body as far as there is memory for it; then the result is no_buffer_space, and @p body has what has been read. */
-asio::awaitable<boost::system::error_code> GatewayExchange::readBody(TargetConnection &connection, AnswerParser &parser, std::string &body)
-{
-    const boost::optional<std::uint64_t> length = parser.content_length();
-    const std::size_t maxSize = length ? static_cast<std::size_t>(*length) : kMaxBufferedBodyBytes;
-    std::string piece;
-    parser.eager(true);
-    while (!parser.is_done()) {
-        const boost::system::error_code error = co_await readBodyPiece(connection, parser, piece);
-        const bool room = body.size() + piece.size() <= kMaxBufferedBodyBytes && reserveLeased(body, body.size() + piece.size(), maxSize, m_answerLease);
-        body.append(piece);
-        if (error) {
-            co_return error;
-        }
-        if (!room && !parser.is_done()) {
-            co_return asio::error::no_buffer_space;
-        }
-        if (!m_wideBuffers && body.size() > RequestMemory::kSmallBytes) {
-            m_wideBuffers.emplace(m_caller.socket(), m_answerLease);
-        }
-    }
-    co_return boost::system::error_code();
-}
-
-asio::awaitable<boost::system::error_code> GatewayExchange::discardBody(TargetConnection &connection, AnswerParser &parser)
-{
-    std::string piece;
-    boost::system::error_code error;
-    parser.eager(true);
-    while (!parser.is_done() && !error) {
-        error = co_await readBodyPiece(connection, parser, piece);
-    }
-    co_return error;
-}
-
 /** Counts a refusal against the group if it names another rank or the slots are full, otherwise against its runner only. */
 void GatewayExchange::recordRunnerRefusal(const TargetInfo &target, const RunnerAnswer &answer)
 {
@@ -287,48 +219,6 @@
     co_return AttemptEnd::Answered;
 }
 
-/**
- * Passes on an answer for which there is no memory, as fast as its caller takes it. Nothing is read from the runner meanwhile but
- * @p piece, so the answer can't come from another runner any more if this one breaks off.
- */
-asio::awaitable<AttemptEnd> GatewayExchange::relayUnbuffered(TargetConnection &connection, AnswerParser &parser, std::string piece)
-{
-    const boost::optional<std::uint64_t> announced = parser.content_length();
-    const std::optional<std::uint64_t> length = announced ? std::optional(*announced) : std::nullopt;
-    boost::system::error_code error;
-    bool written = false;
-    if (!m_callerGone) {
-        written = co_await writeAnswerHead(parser, length);
-    }
-    m_state.counters.add(m_state.unbufferedAnswers);
-    while (written && !error) {
-        if (length) {
-            written = co_await writeToCaller(std::move(piece));
-        } else if (!piece.empty()) {
-            written = co_await writeChunk(std::move(piece));
-        }
-        if (parser.is_done() || !written) {
-            break;
-        }
-        connection.stream.expires_after(timerMs(timeLeft()));
-        error = co_await readBodyPiece(connection, parser, piece);
-    }
-    if (error || !written) {
-        m_reason = error ? "body: " + error.message() : "caller does not read";
-        m_connectionEnd = connectionEnd(error, true);
-        m_callerConnectionBroken = true;
-        co_return AttemptEnd::Broken;
-    }
-    if (!length) {
-        written = co_await writeToCaller(std::string(kLastChunk));
-        m_callerConnectionBroken = m_callerConnectionBroken || !written;
-    }
-    if (parser.keep_alive() && m_current.connection) {
-        m_state.connections->release(m_current.connection);
-    }
-    co_return AttemptEnd::Answered;
-}
-
 asio::awaitable<AttemptEnd> GatewayExchange::relayStream(TargetConnection &connection, AnswerParser &parser)
 {
     std::array<char, kReadBufferBytes> bytes{};
@@ -433,48 +323,4 @@
     }
 }
 
-/** Writes the head of an answer whose body follows in pieces, once; without a @p length they are chunks. */
-asio::awaitable<bool> GatewayExchange::writeAnswerHead(const AnswerParser &parser, std::optional<std::uint64_t> length)
-{
-    if (m_answerBegun) {
-        co_return !m_callerConnectionBroken;
-    }
-    http::response<http::empty_body> response(parser.get().result(), 11);
-    m_state.protocol.copyAnswerHead(parser.get(), response);
-    if (length) {
-        response.content_length(*length);
-    } else {
-        response.chunked(true);
-    }
-    response.keep_alive(!mustCloseConnection());
-    http::response_serializer<http::empty_body> serializer(response);
-    boost::system::error_code error;
-    m_answerBegun = true;
-    m_status = response.result_int();
-    m_caller.expires_after(kWriteTimeout);
-    co_await http::async_write_header(m_caller, serializer, asio::redirect_error(asio::use_awaitable, error));
-    m_callerConnectionBroken = m_callerConnectionBroken || error;
-    co_return !error;
-}
-
-asio::awaitable<bool> GatewayExchange::writeChunk(std::string data)
-{
-    std::array<char, 16> size{};
-    const auto end = std::to_chars(size.data(), size.data() + size.size(), data.size(), 16).ptr;
-    std::string chunk(size.data(), end);
-    chunk += "\r\n";
-    chunk += data;
-    chunk += "\r\n";
-    const bool written = co_await writeToCaller(std::move(chunk));
-    co_return written;
-}
-
-asio::awaitable<bool> GatewayExchange::writeToCaller(std::string bytes)
-{
-    boost::system::error_code error;
-    m_caller.expires_after(kWriteTimeout);
-    co_await asio::async_write(m_caller, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
-    co_return !error;
-}
-
 } // namespace fulmarlink
--- a/fulmarlink/gatewayserver.cpp
+++ b/fulmarlink/gatewayserver.cpp
@@ -13,16 +13,15 @@
 #include <optional>
 #include <sys/socket.h>
 
+#include "fulmarlink/callerconnection.h"
 #include "fulmarlink/callerprotocol.h"
 #include "fulmarlink/gatewayexchange.h"
 #include "fulmarlink/httpconnection.h"
 #include "fulmarlink/log.h"
-#include "fulmarlink/memorylease.h"
-#include "fulmarlink/memoryleaseowner.h"
 #include "fulmarlink/memoryplan.h"
+#include "fulmarlink/readtimeout.h"
 #include "fulmarlink/requestreader.h"
 #include "fulmarlink/supervised.h"
-#include "fulmarlink/widesocketbuffers.h"
 
 namespace fulmarlink
 {
@@ -70,101 +69,8 @@
     return error ? "unknown" : endpoint.address().to_string() + ':' + std::to_string(endpoint.port());
 }
 
-/** Cancels a read after a timeout without closing the connection, so that an error response can still be sent. */
-class ReadTimeout
-{
-public:
-    ReadTimeout(const asio::any_io_executor &executor, boost::beast::tcp_stream &stream)
-        : m_timer(executor)
-        , m_stream(stream)
-        , m_expired(std::make_shared<bool>(false))
-    {
-    }
-
-    void start(std::chrono::milliseconds time)
-    {
-        m_timer.expires_after(time);
-        m_timer.async_wait([expired = m_expired, &stream = m_stream](const boost::system::error_code &error) {
-            if (!error && expired.use_count() > 1) {
-                *expired = true;
-                stream.cancel();
-            }
-        });
-    }
-
-    void stop()
-    {
-        m_timer.cancel();
-    }
-
-    bool expired() const
-    {
-        return *m_expired;
-    }
-
-private:
-    asio::steady_timer m_timer;
-    boost::beast::tcp_stream &m_stream;
-    std::shared_ptr<bool> m_expired; ///< shared with the timer handler, which may outlive this object
-};
-
 } // namespace
 
-struct GatewayServer::Connection : MemoryLeaseOwner {
-    explicit Connection(tcp::socket socket)
-        : stream(std::move(socket))
-    {
-    }
-
-    void evict() override
-    {
-        reader->discardBody();
-        stream.cancel();
-    }
-
-    void leaseBecameLarge() override
-    {
-        wideBuffers.emplace(stream.socket(), *lease);
-    }
-
-    /** Notes whether the request has made progress since the last call. */
-    void updateProgress(TimePoint now)
-    {
-        const std::size_t steps = reader->received() / RequestMemory::kProgressBytes;
-        if (steps > progressSteps) {
-            progressSteps = steps;
-            progressAt = now;
-        }
-    }
-
-    void endRequest()
-    {
-        reader = nullptr;
-        wideBuffers.reset();
-        lease.reset();
-    }
-
-    boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
-    std::optional<MemoryLease> lease; ///< of the current request
-    std::optional<WideSocketBuffers> wideBuffers; ///< while the current request is large
-    RequestReader *reader = nullptr; ///< of the current request, until it is complete
-    GatewayExchange *exchange = nullptr; ///< the request in progress; null: none
-    bool watching = false;
-    bool reading = false; ///< at least one byte of the current request has arrived
-    bool rejected = false; ///< the last answer has been sent; the rest of what the caller sends is discarded
-    TimePoint progressAt{}; ///< when the current request began, or updateProgress() saw that more of it had arrived
-    std::size_t progressSteps = 0; ///< RequestMemory::kProgressBytes of the current request that updateProgress() has seen
-    TimePoint lastUsed{}; ///< when it was opened or its last request ended
-
-    /** True if no request is in progress and no byte of one has arrived, read or unread. */
-    bool idle()
-    {
-        boost::system::error_code ignored; // a broken connection has no unread bytes
-        return exchange == nullptr && !reading && buffer.size() == 0 && stream.socket().available(ignored) == 0;
-    }
-};
-
 GatewayServer::GatewayServer(const asio::any_io_executor &executor, GatewayState &state)
     : m_executor(executor)
     , m_state(state)
@@ -202,7 +108,7 @@
 
 void GatewayServer::closeIdle()
 {
-    for (Connection *connection : m_connections) {
+    for (CallerConnection *connection : m_connections) {
         if (connection->idle()) {
             connection->stream.close();
         }
@@ -230,7 +136,7 @@
             logRequest("connection-closed-unread", {{"caller", addressOf(socket)}, {"open", std::to_string(m_connections.size())}});
             continue; // closes the socket
         }
-        auto connection = std::make_shared<Connection>(std::move(socket));
+        auto connection = std::make_shared<CallerConnection>(std::move(socket));
         asio::co_spawn(m_executor, serve(std::move(connection)), asio::detached);
     }
 }
@@ -239,7 +145,7 @@
 bool GatewayServer::makeRoom()
 {
     const bool hasRoom = m_connections.size() < m_state.settings.maxCallerConnections;
-    Connection *const unneeded = hasRoom ? nullptr : leastNeeded();
+    CallerConnection *const unneeded = hasRoom ? nullptr : leastNeeded();
     const bool full = !hasRoom && unneeded == nullptr;
     if (full != m_full) {
         m_full = full;
@@ -262,12 +168,12 @@
  * A connection whose last answer has been sent, or else the one that has been idle for longest, or else the one whose incomplete
  * request has made no progress for longest, and for kMinStall at least; null if there is none.
  */
-GatewayServer::Connection *GatewayServer::leastNeeded() const
+CallerConnection *GatewayServer::leastNeeded() const
 {
     const TimePoint now = m_state.clock.now();
-    Connection *idle = nullptr;
-    Connection *stalled = nullptr;
-    for (Connection *connection : m_connections) {
+    CallerConnection *idle = nullptr;
+    CallerConnection *stalled = nullptr;
+    for (CallerConnection *connection : m_connections) {
         if (connection->rejected) {
             return connection;
         }
@@ -286,7 +192,7 @@
     return idle != nullptr && idle->idle() ? idle : stalled;
 }
 
-asio::awaitable<void> GatewayServer::serve(std::shared_ptr<Connection> connection)
+asio::awaitable<void> GatewayServer::serve(std::shared_ptr<CallerConnection> connection)
 {
     connection->lastUsed = m_state.clock.now();
     m_connections.insert(connection.get());
@@ -317,7 +223,7 @@
 }
 
 /** Waits for the caller to close the connection while its request is answered, so that the exchange can stop work that nobody waits for. */
-void GatewayServer::watchForDisconnect(const std::shared_ptr<Connection> &connection)
+void GatewayServer::watchForDisconnect(const std::shared_ptr<CallerConnection> &connection)
 {
     if (connection->watching) {
         return;
@@ -337,7 +243,7 @@
 }
 
 /** Waits for the first byte of a request. Returns false if there will be none. */
-asio::awaitable<bool> GatewayServer::awaitRequest(Connection &connection)
+asio::awaitable<bool> GatewayServer::awaitRequest(CallerConnection &connection)
 {
     connection.reading = connection.buffer.size() > 0;
     if (connection.reading) {
@@ -361,7 +267,7 @@
     co_return true;
 }
 
-asio::awaitable<bool> GatewayServer::readRequest(Connection &connection, RequestReader &reader, std::chrono::milliseconds headerTimeout)
+asio::awaitable<bool> GatewayServer::readRequest(CallerConnection &connection, RequestReader &reader, std::chrono::milliseconds headerTimeout)
 {
     connection.stream.expires_never();
     ReadTimeout timeout(m_executor, connection.stream);
@@ -391,7 +297,7 @@
     co_return true;
 }
 
-asio::awaitable<void> GatewayServer::rejectUnreadable(Connection &connection, RequestReader &reader, boost::system::error_code error)
+asio::awaitable<void> GatewayServer::rejectUnreadable(CallerConnection &connection, RequestReader &reader, boost::system::error_code error)
 {
     const ResultCode code = unreadableRequestCode(error);
     const ResultInfo &info = resultInfo(code);
@@ -433,7 +339,7 @@
 }
 
 /** Reads what a rejected caller still sends: to close a connection with unread bytes resets it, and the caller could lose the answer. */
-asio::awaitable<void> GatewayServer::discardInput(Connection &connection)
+asio::awaitable<void> GatewayServer::discardInput(CallerConnection &connection)
 {
     static std::array<char, kDiscardBytes> discarded; // shared by all connections, since nothing reads it
     boost::system::error_code error;
@@ -444,7 +350,7 @@
     }
 }
 
-asio::awaitable<bool> GatewayServer::serveRequest(const std::shared_ptr<Connection> &connection)
+asio::awaitable<bool> GatewayServer::serveRequest(const std::shared_ptr<CallerConnection> &connection)
 {
     const bool begun = co_await awaitRequest(*connection);
     if (!begun) {
--- a/fulmarlink/gatewayserver.h
+++ b/fulmarlink/gatewayserver.h
@@ -12,6 +12,7 @@
 namespace fulmarlink
 {
 
+struct CallerConnection;
 class RequestReader;
 
 /**
@@ -35,23 +36,21 @@
     void stop();
 
 private:
-    struct Connection;
-
     boost::asio::awaitable<void> acceptLoop();
     bool makeRoom();
-    Connection *leastNeeded() const;
-    boost::asio::awaitable<void> serve(std::shared_ptr<Connection> connection);
-    boost::asio::awaitable<bool> serveRequest(const std::shared_ptr<Connection> &connection);
-    boost::asio::awaitable<bool> awaitRequest(Connection &connection);
-    boost::asio::awaitable<bool> readRequest(Connection &connection, RequestReader &reader, std::chrono::milliseconds headerTimeout);
-    boost::asio::awaitable<void> rejectUnreadable(Connection &connection, RequestReader &reader, boost::system::error_code error);
-    boost::asio::awaitable<void> discardInput(Connection &connection);
-    static void watchForDisconnect(const std::shared_ptr<Connection> &connection);
+    CallerConnection *leastNeeded() const;
+    boost::asio::awaitable<void> serve(std::shared_ptr<CallerConnection> connection);
+    boost::asio::awaitable<bool> serveRequest(const std::shared_ptr<CallerConnection> &connection);
+    boost::asio::awaitable<bool> awaitRequest(CallerConnection &connection);
+    boost::asio::awaitable<bool> readRequest(CallerConnection &connection, RequestReader &reader, std::chrono::milliseconds headerTimeout);
+    boost::asio::awaitable<void> rejectUnreadable(CallerConnection &connection, RequestReader &reader, boost::system::error_code error);
+    boost::asio::awaitable<void> discardInput(CallerConnection &connection);
+    static void watchForDisconnect(const std::shared_ptr<CallerConnection> &connection);
 
     boost::asio::any_io_executor m_executor;
     GatewayState &m_state;
     boost::asio::ip::tcp::acceptor m_acceptor;
-    std::unordered_set<Connection *> m_connections;
+    std::unordered_set<CallerConnection *> m_connections;
     Counters::Id m_accepted;
     Counters::Id m_acceptFailures;
     Counters::Id m_open;
--- a/fulmarlink/gatewaystate.cpp
+++ b/fulmarlink/gatewaystate.cpp
@@ -122,6 +122,15 @@
     return now - lastActivity > std::max(kMinStallTime, expectedInterval);
 }
 
+void GatewayState::checkBodyLimit() const
+{
+    const std::size_t bodyLimit = config.active()->configuration.limits.maxBodyBytes;
+    const std::size_t memory = requestMemory->limit(MemoryLease::Share::LargeRequests);
+    if (bodyLimit > memory) {
+        logWarning("body-limit-exceeds-memory", {{"max_body_bytes", std::to_string(bodyLimit)}, {"memory", std::to_string(memory)}});
+    }
+}
+
 Duration GatewayState::sharedWriteInterval() const
 {
     return Duration(std::chrono::seconds(1)) * entries / (kSharedWritesPerSecond - kEntryRenewalsPerSecond);
--- a/fulmarlink/gatewaystate.h
+++ b/fulmarlink/gatewaystate.h
@@ -66,6 +66,8 @@
     void setEntries(unsigned count);
     /** Applies the current settings and number of hosts to the retry budgets of all pools. */
     void updateBudgets();
+    /** Warns if the configuration in force allows larger bodies than there is memory for. These are refused, whatever the configuration says. */
+    void checkBodyLimit() const;
     /** Interval between this host's writes of shared records, so that all hosts together stay within kSharedWritesPerSecond. */
     Duration sharedWriteInterval() const;
     /** Maximum age of the configuration's last confirmation by the store at which requests with an API key may run. */
